--- /dev/null
+++ b/cornelward/http_framing.py
@@ -0,0 +1,131 @@
+"""Framing of HTTP/1.1 requests in front of circuits.web.
+
+circuits.web 3.2.5 takes a pipelined request for the body of the one before it, never
+answers a request that arrives byte by byte, accepts bad lengths and has no limits.
+``RequestFramer`` hands over only whole, well-formed requests, one at a time.
+"""
+
+from typing import NamedTuple
+
+import httptools
+
+__all__ = ["FramingError", "HttpRequest", "RequestFramer"]
+
+# A caller that pipelines more than this without reading answers is cut off.
+MAX_PIPELINED = 64
+
+
+class HttpRequest(NamedTuple):
+    """One whole request; header names are lower case."""
+
+    method: str
+    path: str
+    query: str
+    headers: dict
+    body: bytes
+    keep_alive: bool
+
+
+class FramingError(Exception):
+    """The bytes are not acceptable; ``status`` is the HTTP status to answer."""
+
+    def __init__(self, status, message):
+        super().__init__(message)
+        self.status = status
+        self.message = message
+
+
+class RequestFramer:
+    """Collects requests from the bytes of one connection."""
+
+    def __init__(self, max_header_bytes, max_body_bytes, on_continue=None):
+        self.requests = []
+        self.receiving = False
+        self._max_header_bytes = max_header_bytes
+        self._max_body_bytes = max_body_bytes
+        self._on_continue = on_continue
+        self._parser = httptools.HttpRequestParser(self)
+        self._reset()
+
+    def feed(self, data):
+        """Parse ``data``; whole requests are appended to ``requests``.
+
+        Raises FramingError; the connection must then be closed.
+        """
+        if self.receiving and not self._headers_done:
+            self._header_bytes += len(data)
+            self._check_header_size()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            raise FramingError(400, "protocol upgrades are not supported") from exc
+        except httptools.HttpParserCallbackError as exc:
+            if isinstance(exc.__context__, FramingError):
+                raise exc.__context__ from None
+            raise FramingError(400, "malformed request") from exc
+        except httptools.HttpParserError as exc:
+            raise FramingError(400, f"malformed request: {exc}") from exc
+
+    def _reset(self):
+        self._url = b""
+        self._headers = {}
+        self._body = []
+        self._body_bytes = 0
+        self._header_bytes = 0
+        self._headers_done = False
+
+    def _check_header_size(self):
+        if self._header_bytes > self._max_header_bytes:
+            raise FramingError(431, "the request header is too large")
+
+    def on_message_begin(self):
+        if len(self.requests) >= MAX_PIPELINED:
+            raise FramingError(400, "too many pipelined requests")
+        self._reset()
+        self.receiving = True
+
+    def on_url(self, url):
+        self._url += url
+        self._header_bytes += len(url)
+        self._check_header_size()
+
+    def on_header(self, name, value):
+        self._header_bytes += len(name) + len(value) + 4
+        self._check_header_size()
+        name = name.decode("latin-1").lower()
+        if name == "host" and "host" in self._headers:
+            raise FramingError(400, "more than one Host header")
+        self._headers[name] = value.decode("latin-1")
+
+    def on_headers_complete(self):
+        self._headers_done = True
+        length = self._headers.get("content-length")
+        if length is not None and int(length) > self._max_body_bytes:
+            raise FramingError(413, "the request body is too large")
+        if self._parser.get_http_version() == "1.1" and "host" not in self._headers:
+            raise FramingError(400, "no Host header")
+        if self._headers.get("expect", "").lower() == "100-continue":
+            self._on_continue and self._on_continue()
+
+    def on_body(self, data):
+        self._body_bytes += len(data)
+        if self._body_bytes > self._max_body_bytes:
+            raise FramingError(413, "the request body is too large")
+        self._body.append(data)
+
+    def on_message_complete(self):
+        try:
+            url = httptools.parse_url(self._url)
+        except httptools.HttpParserInvalidURLError:
+            raise FramingError(400, "malformed request target") from None
+        self.receiving = False
+        self.requests.append(
+            HttpRequest(
+                method=self._parser.get_method().decode("ascii"),
+                path=(url.path or b"/").decode("latin-1"),
+                query=(url.query or b"").decode("latin-1"),
+                headers=self._headers,
+                body=b"".join(self._body),
+                keep_alive=self._parser.should_keep_alive(),
+            )
+        )
--- /dev/null
+++ b/cornelward/http_server.py
@@ -0,0 +1,284 @@
+"""HTTP server: circuits.web behind a framing guard.
+
+``HttpServer`` calls ``handle(call)`` for each whole request; the handler answers now or
+later with ``call.answer``. Requests of one connection are handled one after another, so
+answers leave in the order of the requests.
+"""
+
+import time
+
+import msgspec
+from circuits import BaseComponent, handler
+from circuits.net.events import close, write
+from circuits.net.sockets import TCPServer
+from circuits.web import wrappers
+from circuits.web.events import request, response
+from circuits.web.headers import Headers
+from circuits.web.http import HTTP
+
+from .errors import INTERNAL, STATUS_OF_CODE, CornelwardError
+from .http_framing import FramingError, RequestFramer
+from .log import get_logger
+from .verdicts import Verdict
+
+__all__ = ["Call", "HttpServer", "Limits", "error_body"]
+
+log = get_logger("http_server")
+
+SWEEP_INTERVAL_S = 1.0
+JSON = "application/json"
+REASONS = {400: "Bad Request", 408: "Request Timeout", 413: "Content Too Large"}
+REASONS |= {431: "Request Header Fields Too Large", 503: "Service Unavailable"}
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """Bounds of one server; times in seconds."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    max_connections: int = 2_000
+    idle_timeout_s: float = 60.0
+    receive_timeout_s: float = 10.0
+
+
+def error_body(code, message, verdict=None, **details):
+    """Return the JSON body of a refusal."""
+    error = {"code": code, "message": message}
+    if verdict is not None:
+        error["verdict"] = str(verdict)
+    error.update({k: v for k, v in details.items() if v is not None})
+    return msgspec.json.encode({"error": error})
+
+
+class Call:
+    """One request waiting for its answer."""
+
+    __slots__ = ("_finish", "answered", "closed", "on_closed", "request")
+
+    def __init__(self, request, finish):
+        self.request = request
+        self.answered = False
+        self.closed = False
+        self.on_closed = None
+        self._finish = finish
+
+    def answer(self, status, body=b"", content_type=JSON, headers=()):
+        """Send the answer; only the first one counts."""
+        if self.answered:
+            return
+        self.answered = True
+        if not self.closed:
+            self._finish(status, body, content_type, headers)
+
+    def answer_json(self, status, value, headers=()):
+        """Send ``value`` as a JSON answer."""
+        self.answer(status, msgspec.json.encode(value), JSON, headers)
+
+    def refuse(self, exc, status=None, **details):
+        """Send a CornelwardError as a JSON refusal."""
+        retry_after_ms = getattr(exc, "retry_after_ms", None)
+        self.answer(
+            status or STATUS_OF_CODE.get(exc.code, 500),
+            error_body(
+                exc.code,
+                exc.message,
+                exc.verdict,
+                retry_after_ms=retry_after_ms,
+                **details,
+            ),
+            JSON,
+            (("X-Verdict", str(exc.verdict)),) if exc.verdict else (),
+        )
+
+
+class _Connection:
+    """State of one accepted connection."""
+
+    __slots__ = ("call", "close_after", "framer", "read_at")
+
+    def __init__(self, framer, now):
+        self.framer = framer
+        self.call = None
+        self.close_after = False
+        self.read_at = now
+
+
+class _GuardedHTTP(HTTP):
+    """circuits.web's protocol component, fed only with whole requests."""
+
+    def __init__(self, server, handle, limits, channel):
+        super().__init__(server, channel=channel)
+        self.connections = {}
+        self._handle = handle
+        self._limits = limits
+
+    @handler("connect")
+    def _on_connect(self, sock, *peer):
+        if len(self.connections) >= self._limits.max_connections:
+            self.fire(close(sock))
+            return
+
+        def send_continue():
+            self.fire(write(sock, b"HTTP/1.1 100 Continue\r\n\r\n"))
+
+        framer = RequestFramer(
+            self._limits.max_header_bytes, self._limits.max_body_bytes, send_continue
+        )
+        self.connections[sock] = _Connection(framer, time.monotonic())
+
+    @handler("disconnect")
+    def _on_disconnect(self, sock):
+        conn = self.connections.pop(sock, None)
+        if conn is not None and conn.call is not None:
+            conn.call.closed = True
+            if conn.call.on_closed is not None:
+                conn.call.on_closed()
+
+    @handler("read")
+    def _on_read(self, sock, data):
+        conn = self.connections.get(sock)
+        if conn is None or conn.close_after:
+            return
+        if not conn.framer.receiving:
+            conn.read_at = time.monotonic()
+        try:
+            conn.framer.feed(data)
+        except FramingError as exc:
+            conn.close_after = True
+            if conn.call is None and not conn.framer.requests:
+                self.reject(sock, exc.status, exc.message)
+                return
+            # Whole requests before the bad bytes are still answered.
+        self._next(sock, conn)
+
+    def reject(self, sock, status, message):
+        """Answer a request that never reached a handler, and close."""
+        body = error_body("bad_request", message, Verdict.NOT_RUN)
+        head = (
+            f"HTTP/1.1 {status} {REASONS.get(status, 'Error')}\r\n"
+            f"Content-Type: {JSON}\r\nContent-Length: {len(body)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        self.fire(write(sock, head.encode("ascii") + body))
+        self.fire(close(sock))
+
+    def _next(self, sock, conn):
+        if conn.call is not None or not conn.framer.requests:
+            return
+        framed = conn.framer.requests.pop(0)
+        req = wrappers.Request(
+            sock,
+            framed.method,
+            # Only a checked Host reaches circuits.web, which parses it carelessly.
+            headers=Headers([("Host", "localhost")]),
+            server=self._server,
+        )
+        res = wrappers.Response(req)
+        res.close = not framed.keep_alive
+
+        def finish(status, body, content_type, headers):
+            res.status = status
+            res.body = body
+            res.headers["Content-Type"] = content_type
+            for name, value in headers:
+                res.headers[name] = value
+            self.fire(response(res))
+
+        conn.call = Call(framed, finish)
+        self.fire(request(req, res))
+
+    @handler("request")
+    def _on_request(self, event, req, res):
+        event.stop()
+        conn = self.connections.get(req.sock)
+        if conn is None or conn.call is None:
+            return True
+        call = conn.call
+        try:
+            self._handle(call)
+        except CornelwardError as exc:
+            call.refuse(exc)
+        except Exception as exc:
+            log("error", "handler_failed", path=call.request.path, exc=repr(exc))
+            body = error_body(INTERNAL, "internal error", Verdict.MAY_HAVE_RUN)
+            call.answer(500, body)
+        return True
+
+    @handler("response")
+    def _on_response(self, res):
+        sock = res.request.sock
+        conn = self.connections.get(sock)
+        if conn is None:
+            return
+        res.prepare()
+        # A request behind malformed bytes never gets an answer, so say so at once.
+        closing = res.close or (conn.close_after and not conn.framer.requests)
+        if closing:
+            res.headers["Connection"] = "close"
+        body = b"" if res.request.method == "HEAD" else b"".join(res.body)
+        self.fire(write(sock, bytes(res) + bytes(res.headers) + body))
+        res.done = True
+        conn.call = None
+        conn.read_at = time.monotonic()
+        if closing:
+            conn.close_after = True
+            self.fire(close(sock))
+        else:
+            self._next(sock, conn)
+
+    @handler("exception")
+    def _on_exception(self, *args, **kwargs):
+        # circuits.web would send the traceback to the caller.
+        log("error", "event_failed", exc=repr(args[1] if len(args) > 1 else args))
+
+    def sweep(self, now):
+        """Close idle connections and those that never finish a request."""
+        for sock, conn in list(self.connections.items()):
+            if conn.call is not None:
+                continue
+            silent_s = now - conn.read_at
+            if conn.framer.receiving and silent_s > self._limits.receive_timeout_s:
+                conn.close_after = True
+                self.reject(sock, 408, "the request was not received in time")
+            elif silent_s > self._limits.idle_timeout_s:
+                self.fire(close(sock))
+
+
+class HttpServer(BaseComponent):
+    """A server on ``bind`` (ip, port) that calls ``handle(call)``.
+
+    Raises OSError if the address is in use.
+    """
+
+    channel = "web"
+    display_banner = False
+    secure = False
+
+    def __init__(self, loop, bind, handle, limits=None, channel="web"):
+        super().__init__(channel=channel)
+        self.server = TCPServer(bind, channel=channel, bufsize=65_536).register(self)
+        self.http = _GuardedHTTP(self, handle, limits or Limits(), channel)
+        self.http.register(self)
+        self.register(loop)
+        loop.call_every(SWEEP_INTERVAL_S, lambda: self.http.sweep(time.monotonic()))
+
+    @property
+    def host(self):
+        return self.server.host
+
+    @property
+    def port(self):
+        return self.server.port
+
+    @property
+    def address(self):
+        """Return "ip:port" as bound."""
+        return f"{self.host}:{self.port}"
+
+    def open_calls(self):
+        """Return how many requests wait for their answer."""
+        return sum(c.call is not None for c in self.http.connections.values())
+
+    @handler("error")
+    def _on_error(self, *args):
+        log("debug", "socket_error", exc=repr(args[-1]))
--- /dev/null
+++ b/cornelward/messages.py
@@ -0,0 +1,161 @@
+"""Typed messages between the system's processes, and their msgpack codec.
+
+On the wire: ``[type name, sender id, incarnation, payload]``. Times in seconds.
+"""
+
+from typing import Any, NamedTuple
+
+import msgspec
+
+__all__ = [
+    "MESSAGE_TYPES",
+    "ConfigAnnounce",
+    "ConfigRequest",
+    "Credit",
+    "Envelope",
+    "Heartbeat",
+    "HeartbeatAck",
+    "JobNotice",
+    "Leaving",
+    "SlotGrant",
+    "SlotRequest",
+    "SlotReturn",
+    "ViewAnnounce",
+    "decode",
+    "encode",
+]
+
+
+class Credit(NamedTuple):
+    """Permission to start one request on an executor of another entry."""
+
+    credit_id: int
+    executor: str
+    address: str
+
+
+class Heartbeat(NamedTuple):
+    """Liveness and load of an entry; ``sent_at`` is on the sender's clock."""
+
+    epoch: int
+    seq: int
+    sent_at: float
+    config_version: int
+    # Requests queued and slots free, by service.
+    queued: dict[str, int]
+    free_slots: dict[str, int]
+    # Credits still in use, which the owner must keep reserved.
+    credits: list[int]
+
+
+class HeartbeatAck(NamedTuple):
+    """Promise not to act on a higher view against the sender for the view lease."""
+
+    epoch: int
+    seq: int
+    sent_at: float
+
+
+class ViewAnnounce(NamedTuple):
+    """A view of a failure domain's entries: member id to [address, incarnation]."""
+
+    failure_domain: str
+    epoch: int
+    members: dict[str, tuple[str, int]]
+
+
+class Leaving(NamedTuple):
+    """The sender gives up all authority and will not act again."""
+
+    epoch: int
+
+
+class SlotRequest(NamedTuple):
+    """Wants slots of executors that the receiver owns."""
+
+    service: str
+    cls: str
+    count: int
+    sent_at: float
+
+
+class SlotGrant(NamedTuple):
+    """Credits usable until ``sent_at + ttl_s`` on the asker's clock."""
+
+    service: str
+    cls: str
+    credits: list[Credit]
+    ttl_s: float
+    sent_at: float
+
+
+class SlotReturn(NamedTuple):
+    """Slots of these credits are free again."""
+
+    credits: list[int]
+
+
+class ConfigAnnounce(NamedTuple):
+    """A configuration document with its number."""
+
+    version: int
+    document: dict[str, Any]
+
+
+class ConfigRequest(NamedTuple):
+    """Asks for a configuration above ``version``."""
+
+    version: int
+
+
+class JobNotice(NamedTuple):
+    """The inbox of a failure domain has a new row."""
+
+    failure_domain: str
+    job_id: str
+
+
+class Envelope(NamedTuple):
+    """A decoded message with its sender."""
+
+    sender: str
+    incarnation: int
+    message: Any
+
+
+MESSAGE_TYPES = {
+    cls.__name__: cls
+    for cls in (
+        ConfigAnnounce,
+        ConfigRequest,
+        Heartbeat,
+        HeartbeatAck,
+        JobNotice,
+        Leaving,
+        SlotGrant,
+        SlotRequest,
+        SlotReturn,
+        ViewAnnounce,
+    )
+}
+
+_encoder = msgspec.msgpack.Encoder()
+_frame_decoder = msgspec.msgpack.Decoder(tuple[str, str, int, msgspec.Raw])
+_payload_decoders = {
+    name: msgspec.msgpack.Decoder(cls) for name, cls in MESSAGE_TYPES.items()
+}
+
+
+def encode(sender, incarnation, message):
+    """Return the bytes of ``message``."""
+    return _encoder.encode((type(message).__name__, sender, incarnation, message))
+
+
+def decode(data):
+    """Return the Envelope in ``data``, or None if it is not a known message."""
+    try:
+        name, sender, incarnation, payload = _frame_decoder.decode(data)
+        message = _payload_decoders[name].decode(payload)
+    except (msgspec.DecodeError, KeyError):
+        return None
+    return Envelope(sender, incarnation, message)
--- /dev/null
+++ b/cornelward/verdicts.py
@@ -0,0 +1,20 @@
+"""Verdicts: whether a request may have run."""
+
+import enum
+
+__all__ = ["Verdict", "is_retry_safe"]
+
+
+class Verdict(enum.StrEnum):
+    """Outcome of a request as seen by its caller."""
+
+    NOT_RUN = "NOT_RUN"
+    MAY_HAVE_RUN = "MAY_HAVE_RUN"
+    RAN = "RAN"
+
+
+def is_retry_safe(verdict, idempotent):
+    """Return whether a failed request may be sent again."""
+    return verdict is Verdict.NOT_RUN or (
+        idempotent and verdict is Verdict.MAY_HAVE_RUN
+    )
