--- /dev/null
+++ b/cornelward/api.py
@@ -0,0 +1,166 @@
+"""HTTP routes of an entry, for callers and operators."""
+
+from urllib.parse import unquote
+
+import msgspec
+
+from . import config_follow, job_requests, request_flow
+from .errors import (
+    BAD_REQUEST,
+    NO_UPSTREAM,
+    NOT_FOUND,
+    SHUTTING_DOWN,
+    ConfigConflictError,
+    CornelwardError,
+    ObjectsError,
+    RequestError,
+)
+from .metrics import CONTENT_TYPE, render
+
+__all__ = ["make_handle", "serve_common"]
+
+
+def serve_common(call, process):
+    """Serve the routes that every process has; returns whether it was one.
+
+    ``process`` has ``is_ready()``, ``dump()`` and ``metrics``.
+    """
+    path = call.request.path
+    if path == "/healthz":
+        call.answer_json(200, {"ok": True})
+    elif path == "/readyz":
+        ready = process.is_ready()
+        call.answer_json(200 if ready else 503, {"ready": ready})
+    elif path == "/metrics":
+        call.answer(200, render(process.metrics), CONTENT_TYPE)
+    elif path == "/state":
+        call.answer_json(200, process.dump())
+    else:
+        return False
+    return True
+
+
+def make_handle(entry):
+    """Return ``handle(call)`` for the entry's HTTP server."""
+
+    def handle(call):
+        parts = call.request.path.split("/")
+        if parts[1:3] == ["v1", "services"] and len(parts) == 5:
+            _service(entry, call, parts[3], parts[4])
+        elif parts[1:2] == ["v1"] and len(parts) > 2:
+            route = ROUTES.get((call.request.method, parts[2], len(parts)))
+            if route is None:
+                raise _not_found(call)
+            route(entry, call, [unquote(part) for part in parts[3:]])
+        elif not serve_common(call, entry):
+            raise _not_found(call)
+
+    return handle
+
+
+def _not_found(call):
+    text = f"no route {call.request.method} {call.request.path}"
+    return RequestError(NOT_FOUND, text)
+
+
+def _service(entry, call, service, operation):
+    if call.request.method != "POST":
+        raise _not_found(call)
+    if not entry.follower.document["version"]:
+        text = "no configuration is in force yet"
+        raise RequestError(NO_UPSTREAM, text, retry_after_ms=1000)
+    spec = entry.operations.get((service, operation))
+    if spec is None:
+        raise RequestError(NOT_FOUND, f"no operation {service}/{operation}")
+    request_flow.accept(entry, call, service, operation, spec)
+
+
+def _json_body(call):
+    try:
+        return msgspec.json.decode(call.request.body)
+    except msgspec.DecodeError as exc:
+        text = f"the body is not valid JSON: {exc}"
+        raise RequestError(BAD_REQUEST, text) from exc
+
+
+def _check_open(entry):
+    if entry.leaving:
+        raise RequestError(SHUTTING_DOWN, "this instance is shutting down")
+
+
+def _answer_with(call, answer):
+    """Return a callback that answers with a value or refuses with its error."""
+
+    def done(result):
+        if isinstance(result, ObjectsError):
+            call.refuse(result, problems=result.problems)
+        elif isinstance(result, ConfigConflictError):
+            call.refuse(result, current=result.current)
+        elif isinstance(result, CornelwardError):
+            call.refuse(result)
+        else:
+            answer(result)
+
+    return done
+
+
+def _submit_job(entry, call, _):
+    _check_open(entry)
+    key = call.request.headers.get("idempotency-key")
+    record = job_requests.job_record(
+        entry.index, _json_body(call), key, entry.new_nonce()
+    )
+
+    def answer(result):
+        job_id, created = result
+        call.answer_json(201 if created else 200, {"id": job_id, "created": created})
+
+    done = _answer_with(call, answer)
+    job_requests.submit_job(entry.platform, entry.send, record, done)
+
+
+def _get_job(entry, call, parts):
+    done = _answer_with(call, lambda record: call.answer_json(200, record))
+    job_requests.get_job(entry.platform, parts[0], done)
+
+
+def _cancel_job(entry, call, parts):
+    _check_open(entry)
+    done = _answer_with(call, lambda record: call.answer_json(202, record))
+    job_requests.cancel_job(entry.platform, entry.send, parts[0], done)
+
+
+def _get_config(entry, call, _):
+    call.answer_json(200, entry.follower.document)
+
+
+def _put_config(entry, call, _):
+    _check_open(entry)
+    body = _json_body(call)
+    if not isinstance(body, dict) or set(body) != {"parent", "objects"}:
+        raise RequestError(BAD_REQUEST, 'expected {"parent", "objects"}')
+
+    def answer(document):
+        call.answer_json(200, {"version": document["version"]})
+
+    config_follow.publish(
+        entry.follower,
+        body["parent"],
+        body["objects"],
+        entry.new_nonce(),
+        _answer_with(call, answer),
+    )
+
+
+def _status(entry, call, _):
+    call.answer_json(200, entry.status())
+
+
+ROUTES = {
+    ("POST", "jobs", 3): _submit_job,
+    ("GET", "jobs", 4): _get_job,
+    ("DELETE", "jobs", 4): _cancel_job,
+    ("GET", "config", 3): _get_config,
+    ("PUT", "config", 3): _put_config,
+    ("GET", "status", 3): _status,
+}
--- /dev/null
+++ b/cornelward/compose.py
@@ -0,0 +1,117 @@
+"""The one composition root: builds a process from its settings.
+
+``build_common`` makes what every process has; ``build_entry`` adds the request side.
+"""
+
+import os
+import random
+import time
+from typing import NamedTuple
+
+from . import entry as entry_shell
+from .api import make_handle
+from .errors import START_FAILED, CornelwardError
+from .http_client import HttpClient
+from .http_server import HttpServer, Limits
+from .loop import Loop
+from .metrics import new_metrics
+from .peers import Peers
+from .platform_client import connect_platform
+from .upstream_client import connect_upstream
+
+__all__ = ["Common", "build_common", "build_entry"]
+
+
+class Common(NamedTuple):
+    """Parts of every process; ``incarnation`` grows from one start to the next."""
+
+    cfg: dict
+    loop: Loop
+    metrics: object
+    client: HttpClient
+    platform: object
+    peers: Peers
+    server: HttpServer
+    incarnation: int
+
+
+def parse_address(text):
+    """Return (ip, port) of "ip:port"."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def build_common(cfg, handle, on_message, loop=None):
+    """Return the Common parts.
+
+    ``handle(call)`` serves HTTP, ``on_message(envelope)`` takes peers' messages; neither
+    is called before the loop runs. Raises CornelwardError if an address is in use.
+    """
+    loop = loop or Loop()
+    metrics = new_metrics()
+    client = HttpClient(loop)
+    platform = connect_platform(
+        client,
+        cfg["platform_address"],
+        cfg["failure_domain"],
+        cfg["platform_timeout_s"],
+        metrics.observe_platform,
+    )
+    # Incarnations of an id are only ordered; a restart takes longer than 1 ms.
+    incarnation = time.time_ns() // 1_000_000
+    server = _bind_server(cfg, loop, handle)
+    peers = _bind_peers(cfg, loop, incarnation, on_message)
+    return Common(cfg, loop, metrics, client, platform, peers, server, incarnation)
+
+
+def _bind_server(cfg, loop, handle):
+    limits = Limits(
+        cfg["max_header_bytes"],
+        cfg["max_body_bytes"],
+        cfg["max_connections"],
+        cfg["idle_timeout_s"],
+        cfg["receive_timeout_s"],
+    )
+    try:
+        return HttpServer(loop, parse_address(cfg["http_address"]), handle, limits)
+    except OSError as exc:
+        raise _start_failed("http_address", cfg, exc.strerror) from exc
+
+
+def _bind_peers(cfg, loop, incarnation, on_message):
+    try:
+        return Peers(loop, cfg["peer_address"], cfg["id"], incarnation, on_message)
+    except Exception as exc:
+        raise _start_failed("peer_address", cfg, str(exc)) from exc
+
+
+def _start_failed(key, cfg, reason):
+    return CornelwardError(f"{key} {cfg[key]}: {reason}", START_FAILED)
+
+
+def build_entry(cfg, loop=None, core=None):
+    """Return an entry that is bound and starts with its loop."""
+    if core is None:
+        from . import router as core
+    holder = []
+    common = build_common(
+        cfg,
+        lambda call: holder[0].handle(call),
+        lambda envelope: holder[0].on_message(envelope),
+        loop,
+    )
+    identity = core.Identity(
+        cfg["id"],
+        common.incarnation,
+        cfg["failure_domain"],
+        cfg["region"],
+        common.peers.address,
+        common.server.address,
+    )
+    rng = random.Random(os.urandom(16))
+    upstream = connect_upstream(common.client)
+    entry = entry_shell.Entry(common, core, identity, rng, upstream)
+    entry.handle = make_handle(entry)
+    holder.append(entry)
+    entry_shell.start(entry)
+    return entry
--- a/cornelward/http_server.py
+++ b/cornelward/http_server.py
@@ -5,6 +5,7 @@
 answers leave in the order of the requests.
 """
 
+import itertools
 import time
 
 import msgspec
@@ -25,6 +26,7 @@
 
 log = get_logger("http_server")
 
+_channel_numbers = itertools.count(1)
 SWEEP_INTERVAL_S = 1.0
 JSON = "application/json"
 REASONS = {400: "Bad Request", 408: "Request Timeout", 413: "Content Too Large"}
@@ -113,6 +115,7 @@
     def __init__(self, server, handle, limits, channel):
         super().__init__(server, channel=channel)
         self.connections = {}
+        self.draining = False
         self._handle = handle
         self._limits = limits
 
@@ -216,7 +219,11 @@
             return
         res.prepare()
         # A request behind malformed bytes never gets an answer, so say so at once.
-        closing = res.close or (conn.close_after and not conn.framer.requests)
+        closing = (
+            res.close
+            or self.draining
+            or (conn.close_after and not conn.framer.requests)
+        )
         if closing:
             res.headers["Connection"] = "close"
         body = b"" if res.request.method == "HEAD" else b"".join(res.body)
@@ -235,6 +242,13 @@
         # circuits.web would send the traceback to the caller.
         log("error", "event_failed", exc=repr(args[1] if len(args) > 1 else args))
 
+    def close_idle(self):
+        """Close the connections on which no request has begun."""
+        for sock, conn in list(self.connections.items()):
+            if conn.call is None and not conn.framer.receiving:
+                conn.close_after = True
+                self.fire(close(sock))
+
     def sweep(self, now):
         """Close idle connections and those that never finish a request."""
         for sock, conn in list(self.connections.items()):
@@ -254,11 +268,12 @@
     Raises OSError if the address is in use.
     """
 
-    channel = "web"
     display_banner = False
     secure = False
 
-    def __init__(self, loop, bind, handle, limits=None, channel="web"):
+    def __init__(self, loop, bind, handle, limits=None):
+        # Servers that share a loop would take each other's events from one channel.
+        channel = f"web{next(_channel_numbers)}"
         super().__init__(channel=channel)
         self.server = TCPServer(bind, channel=channel, bufsize=65_536).register(self)
         self.http = _GuardedHTTP(self, handle, limits or Limits(), channel)
@@ -279,6 +294,24 @@
         """Return "ip:port" as bound."""
         return f"{self.host}:{self.port}"
 
+    def start_draining(self):
+        """Close each connection after its next answer; idle ones stay open."""
+        self.http.draining = True
+
+    def stop_accepting(self):
+        """Close the listening socket and idle connections."""
+        self.http.draining = True
+        if self.server._sock is not None:
+            self.fire(close(self.server._sock))
+        self.http.close_idle()
+
+    def is_drained(self):
+        """Return whether no request is being received or answered."""
+        conns = self.http.connections
+        if any(c.call is not None or c.framer.receiving for c in conns.values()):
+            return False
+        return not any(self.server._buffers.get(sock) for sock in conns)
+
     def open_calls(self):
         """Return how many requests wait for their answer."""
         return sum(c.call is not None for c in self.http.connections.values())
--- a/cornelward/messages.py
+++ b/cornelward/messages.py
@@ -103,9 +103,13 @@
 
 
 class ConfigRequest(NamedTuple):
-    """Asks for a configuration above ``version``."""
+    """Asks for a configuration above ``version``; the answer goes to ``address``.
+
+    A new instance is in nobody's view yet, so that its address must be in the message.
+    """
 
     version: int
+    address: str = ""
 
 
 class JobNotice(NamedTuple):
--- /dev/null
+++ b/cornelward/metrics.py
@@ -0,0 +1,81 @@
+"""Prometheus instruments of a process, on a registry of its own."""
+
+from typing import NamedTuple
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, exposition
+
+__all__ = ["CONTENT_TYPE", "Metrics", "new_metrics", "render"]
+
+CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
+
+# From the 1 ms of a quote to the minutes of a reconciliation.
+DURATION_BUCKETS_S = (0.001, 0.005, 0.02, 0.1, 0.5, 2, 10, 60, 300)
+
+
+class Metrics(NamedTuple):
+    """Instruments; ``observe_request`` and ``observe_platform`` update them."""
+
+    registry: CollectorRegistry
+    config_version: Gauge
+    open_requests: Gauge
+    observe_request: object
+    observe_platform: object
+
+
+def new_metrics():
+    """Return the instruments on a new registry."""
+    registry = CollectorRegistry()
+    requests = Counter(
+        "cornelward_requests",
+        "Requests answered, by service, verdict and status.",
+        ["service", "verdict", "status"],
+        registry=registry,
+    )
+    durations = Histogram(
+        "cornelward_request_seconds",
+        "Time from the arrival of a request to its answer.",
+        ["service"],
+        buckets=DURATION_BUCKETS_S,
+        registry=registry,
+    )
+    platform = Counter(
+        "cornelward_platform_calls",
+        "Calls to the platform, by operation and outcome.",
+        ["operation", "outcome"],
+        registry=registry,
+    )
+    # labels() takes a lock and builds a key on each call; children are kept instead.
+    children = {}
+
+    def observe_request(service, verdict, status, duration_s):
+        key = service, verdict, status
+        pair = children.get(key)
+        if pair is None:
+            counter = requests.labels(service, str(verdict), str(status))
+            pair = children[key] = counter, durations.labels(service)
+        pair[0].inc()
+        pair[1].observe(duration_s)
+
+    def observe_platform(operation, outcome):
+        platform.labels(operation, outcome).inc()
+
+    return Metrics(
+        registry,
+        Gauge(
+            "cornelward_config_version",
+            "Version of the configuration in force.",
+            registry=registry,
+        ),
+        Gauge(
+            "cornelward_open_requests",
+            "Requests accepted and not yet answered.",
+            registry=registry,
+        ),
+        observe_request,
+        observe_platform,
+    )
+
+
+def render(metrics):
+    """Return the exposition text as bytes."""
+    return exposition.generate_latest(metrics.registry)
--- a/cornelward/platform_client.py
+++ b/cornelward/platform_client.py
@@ -96,7 +96,7 @@
         return None
     try:
         return convert(result)
-    except (KeyError, TypeError):
+    except (AttributeError, KeyError, TypeError):
         return None
 
 
--- /dev/null
+++ b/cornelward/request_flow.py
@@ -0,0 +1,350 @@
+"""Requests in one entry: from the caller through the router to an upstream and back."""
+
+import base64
+import re
+
+import xxhash
+
+from . import keyed
+from .errors import (
+    BAD_REQUEST,
+    DEADLINE_EXCEEDED,
+    NO_UPSTREAM,
+    SHUTTING_DOWN,
+    STATUS_OF_CODE,
+    UPSTREAM_FAILED,
+    PlatformError,
+    RequestError,
+)
+from .http_server import JSON, error_body
+from .upstream_client import Answer
+from .verdicts import Verdict
+
+__all__ = ["FORWARDED", "accept", "carry_out", "keyed_tick", "read_timeout"]
+
+# Marks a request that another failure domain's entry sent; it is not sent on, and the
+# sender holds its key.
+FORWARDED = "x-forwarded-domain"
+KEY = re.compile(r"[A-Za-z0-9_.:~-]{1,200}")
+# Headers of the caller that an upstream gets.
+PASSED_HEADERS = ("content-type", "accept", "idempotency-key", "traceparent")
+
+
+class Pending:
+    """One accepted request; ``verdict`` covers all of its attempts so far."""
+
+    __slots__ = (
+        "arrived",
+        "call",
+        "deadline",
+        "dispatched",
+        "headers",
+        "key",
+        "may_have_run",
+        "operation",
+        "outer_id",
+        "service",
+        "spec",
+        "submitted",
+    )
+
+    def __init__(self, call, service, operation, spec, arrived, deadline):
+        self.call = call
+        self.service = service
+        self.operation = operation
+        self.spec = spec
+        self.arrived = arrived
+        self.deadline = deadline
+        self.outer_id = ""
+        self.headers = ()
+        self.key = None
+        self.submitted = False
+        self.dispatched = False
+        self.may_have_run = False
+
+
+def read_timeout(headers, default_ms, max_ms):
+    """Return the timeout in seconds that a caller asks for."""
+    text = headers.get("x-timeout-ms")
+    if text is None:
+        return min(default_ms, max_ms) / 1000
+    if not (text.isascii() and text.isdigit() and 1 <= int(text[:12]) <= max_ms):
+        raise RequestError(BAD_REQUEST, f"X-Timeout-Ms: expected 1 to {max_ms}")
+    return int(text) / 1000
+
+
+def accept(entry, call, service, operation, spec):
+    """Accept a caller's request, or raise RequestError."""
+    if entry.leaving:
+        text = "this instance is shutting down"
+        raise RequestError(SHUTTING_DOWN, text, retry_after_ms=0)
+    now = entry.loop.now()
+    headers = call.request.headers
+    max_ms = entry.cfg["max_timeout_ms"]
+    timeout_s = read_timeout(headers, spec.deadline_ms, max_ms)
+    pending = Pending(call, service, operation, spec, now, now + timeout_s)
+    request_id = entry.next_request_id()
+    pending.outer_id = headers.get("x-request-id") or request_id
+    pending.headers = tuple(
+        (name, headers[name]) for name in PASSED_HEADERS if name in headers
+    )
+    keyed_request = spec.must_not_repeat and FORWARDED not in headers
+    if keyed_request and not headers.get("idempotency-key"):
+        text = f"{operation} must not be repeated and needs an Idempotency-Key"
+        raise RequestError(BAD_REQUEST, text)
+    entry.calls[request_id] = pending
+    call.on_closed = lambda: _caller_gone(entry, request_id)
+    if keyed_request:
+        _begin_keyed(entry, now, request_id, pending)
+    else:
+        _submit(entry, now, request_id, pending)
+
+
+def _submit(entry, now, request_id, pending):
+    forwarded = FORWARDED in pending.call.request.headers
+    req = entry.router.Request(
+        request_id,
+        pending.service,
+        pending.operation,
+        pending.deadline,
+        pending.spec.idempotent,
+        forwarded,
+    )
+    carry_out(entry, entry.router.submit(entry.state, now, req))
+
+
+def carry_out(entry, effects):
+    """Carry out the router's effects in order."""
+    for effect in effects or ():
+        handle = REQUEST_EFFECTS.get(type(effect).__name__)
+        if handle is not None:
+            handle(entry, effect)
+        else:
+            entry.carry_out_other(effect)
+
+
+def _dispatch(entry, effect):
+    now = entry.loop.now()
+    pending = entry.calls.get(effect.request_id)
+    if pending is None:
+        outcome = entry.router.Outcome(Verdict.NOT_RUN, None, False, 0.0)
+        _complete(entry, now, effect.request_id, outcome)
+        return
+    pending.dispatched = True
+
+    def done(answer):
+        _attempt_done(entry, effect.request_id, answer, now)
+
+    entry.upstream.run(
+        effect.address,
+        pending.operation,
+        pending.outer_id,
+        pending.headers,
+        pending.call.request.body,
+        max(0.001, pending.deadline - now),
+        done,
+    )
+
+
+def _forward(entry, effect):
+    now = entry.loop.now()
+    pending = entry.calls.get(effect.request_id)
+
+    def done(answer):
+        _attempt_done(entry, effect.request_id, answer, now)
+
+    if pending is None:
+        done(Answer(Verdict.NOT_RUN, NO_UPSTREAM, "the caller went away", False))
+        return
+    pending.dispatched = True
+    entry.forward(effect.failure_domain, pending, done)
+
+
+def _complete(entry, now, request_id, outcome):
+    router = entry.router
+    retried, effects = router.complete(entry.state, now, request_id, outcome)
+    return retried, effects
+
+
+def _attempt_done(entry, request_id, answer, started):
+    now = entry.loop.now()
+    outcome = entry.router.Outcome(
+        answer.verdict, answer.error, answer.leaving, now - started
+    )
+    pending = entry.calls.get(request_id)
+    if pending is not None:
+        pending.dispatched = False
+        pending.may_have_run |= answer.verdict is not Verdict.NOT_RUN
+    retried, effects = _complete(entry, now, request_id, outcome)
+    if not retried and pending is not None:
+        _settle(entry, now, request_id, pending, answer)
+    carry_out(entry, effects)
+
+
+def _settle(entry, now, request_id, pending, answer):
+    """Answer the caller after the last attempt."""
+    if answer.status is not None:
+        headers = (*answer.headers, ("X-Verdict", "RAN"))
+        parts = (answer.status, answer.body, answer.content_type, headers)
+        _finish(entry, now, request_id, pending, Verdict.RAN, parts)
+    elif pending.may_have_run:
+        code = answer.error if answer.error == DEADLINE_EXCEEDED else UPSTREAM_FAILED
+        _refuse(entry, now, request_id, pending, code, answer.message)
+    else:
+        code = DEADLINE_EXCEEDED if answer.error == DEADLINE_EXCEEDED else NO_UPSTREAM
+        _refuse(entry, now, request_id, pending, code, answer.message)
+
+
+def _refused(entry, effect):
+    pending = entry.calls.get(effect.request_id)
+    if pending is not None:
+        _refuse(
+            entry,
+            entry.loop.now(),
+            effect.request_id,
+            pending,
+            effect.code,
+            effect.message,
+            effect.retry_after_ms,
+        )
+
+
+def _refuse(entry, now, request_id, pending, code, message, retry_after_ms=None):
+    # An earlier attempt may have run even if the last one was never sent.
+    verdict = Verdict.MAY_HAVE_RUN if pending.may_have_run else Verdict.NOT_RUN
+    parts = _refusal(code, message, verdict, retry_after_ms)
+    _finish(entry, now, request_id, pending, verdict, parts)
+
+
+def _refusal(code, message, verdict, retry_after_ms):
+    body = error_body(code, message, verdict, retry_after_ms=retry_after_ms)
+    return STATUS_OF_CODE[code], body, JSON, (("X-Verdict", str(verdict)),)
+
+
+def _finish(entry, now, request_id, pending, verdict, parts):
+    if pending.key is None:
+        _answer(entry, now, request_id, parts)
+        return
+    status, body, content_type, headers = parts
+    stored = {
+        "status": status,
+        "content_type": content_type,
+        "headers": [list(item) for item in headers],
+        "body": base64.b64encode(body).decode("ascii"),
+    }
+    effects = keyed.finished(entry.keyed, now, pending.key, verdict, stored)
+    _carry_out_keyed(entry, effects)
+
+
+def _answer(entry, now, request_id, parts):
+    pending = entry.calls.pop(request_id, None)
+    if pending is None:
+        return
+    status, body, content_type, headers = parts
+    pending.call.answer(status, body, content_type, headers)
+    verdict = next((v for name, v in headers if name == "X-Verdict"), "")
+    elapsed_s = now - pending.arrived
+    entry.metrics.observe_request(pending.service, verdict, status, elapsed_s)
+
+
+def _caller_gone(entry, request_id):
+    pending = entry.calls.get(request_id)
+    # A caller of a keyed request may come back and ask for its answer.
+    if pending is None or pending.dispatched or pending.key is not None:
+        return
+    del entry.calls[request_id]
+    now = entry.loop.now()
+    carry_out(entry, entry.router.cancel(entry.state, now, request_id))
+
+
+def _begin_keyed(entry, now, request_id, pending):
+    request = pending.call.request
+    name = request.headers["idempotency-key"]
+    if not KEY.fullmatch(name):
+        del entry.calls[request_id]
+        text = "Idempotency-Key: expected up to 200 letters, digits and _.:~-"
+        raise RequestError(BAD_REQUEST, text)
+    pending.key = f"requests/{pending.service}/{name}"
+    digest = xxhash.xxh3_128_hexdigest(pending.operation.encode() + b"/" + request.body)
+    nonce = entry.new_nonce()
+    _carry_out_keyed(
+        entry, keyed.begin(entry.keyed, now, pending.key, request_id, digest, nonce)
+    )
+
+
+def _carry_out_keyed(entry, effects):
+    for effect in effects:
+        KEYED_EFFECTS[type(effect)](entry, effect)
+
+
+def _write_row(entry, effect):
+    def written(result):
+        now = entry.loop.now()
+        effects = keyed.written(entry.keyed, now, effect.key, effect.nonce, result)
+        _carry_out_keyed(entry, effects)
+
+    checks, puts = [[effect.key, effect.version]], [[effect.key, effect.value]]
+    entry.platform.txn(checks, puts, [], written)
+
+
+def _read_row(entry, effect):
+    def read(row):
+        now = entry.loop.now()
+        row = None if isinstance(row, PlatformError) else row
+        effects = keyed.row_read(entry.keyed, now, effect.key, effect.nonce, row)
+        _carry_out_keyed(entry, effects)
+
+    entry.platform.get(effect.key, read)
+
+
+def _proceed(entry, effect):
+    now = entry.loop.now()
+    pending = entry.calls.get(effect.request_id)
+    if pending is not None:
+        pending.submitted = True
+        _submit(entry, now, effect.request_id, pending)
+        return
+    # The caller's deadline passed before the key was recorded.
+    effects = keyed.finished(entry.keyed, now, effect.key, Verdict.NOT_RUN, None)
+    _carry_out_keyed(entry, effects)
+
+
+def _reply(entry, effect):
+    answer = effect.answer
+    headers = tuple(tuple(item) for item in answer["headers"])
+    body = base64.b64decode(answer["body"])
+    parts = (answer["status"], body, answer["content_type"], headers)
+    _answer(entry, entry.loop.now(), effect.request_id, parts)
+
+
+def _reject(entry, effect):
+    parts = _refusal(*effect[1:])
+    _answer(entry, entry.loop.now(), effect.request_id, parts)
+
+
+def keyed_tick(entry, now):
+    """Retry writes of keyed requests; refuse callers that waited too long for one."""
+    if not entry.keyed.by_key:
+        return
+    _carry_out_keyed(entry, keyed.tick(entry.keyed, now))
+    late = [
+        (request_id, pending)
+        for request_id, pending in entry.calls.items()
+        if pending.key and not pending.submitted and pending.deadline <= now
+    ]
+    for request_id, pending in late:
+        first = keyed.is_first(entry.keyed, pending.key, request_id)
+        verdict = Verdict.NOT_RUN if first else Verdict.MAY_HAVE_RUN
+        text = "the outcome of the key was not known in time"
+        parts = _refusal(DEADLINE_EXCEEDED, text, verdict, None)
+        _answer(entry, now, request_id, parts)
+
+
+REQUEST_EFFECTS = {"Dispatch": _dispatch, "Forward": _forward, "Refuse": _refused}
+KEYED_EFFECTS = {
+    keyed.WriteRow: _write_row,
+    keyed.ReadRow: _read_row,
+    keyed.Proceed: _proceed,
+    keyed.Reply: _reply,
+    keyed.Reject: _reject,
+}
--- /dev/null
+++ b/cornelward/upstream_client.py
@@ -0,0 +1,117 @@
+"""Protocol of executors: runs one request, reads their health, gives verdicts.
+
+The verdict rests on two facts only: whether a byte of the request was handed to the
+connection, and what the executor itself said.
+"""
+
+from typing import NamedTuple
+
+from .errors import DEADLINE_EXCEEDED, UPSTREAM_FAILED
+from .http_client import HttpResult
+from .verdicts import Verdict
+
+__all__ = ["Answer", "Upstream", "connect_upstream", "read_answer"]
+
+HEALTH_TIMEOUT_S = 1.0
+# Headers about one connection, or about the executor itself, are not the caller's.
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "content-type",
+        "date",
+        "keep-alive",
+        "transfer-encoding",
+        "trailer",
+        "upgrade",
+        "x-not-run",
+        "x-state",
+        "x-verdict",
+    }
+)
+
+
+class Answer(NamedTuple):
+    """What is known after one attempt.
+
+    ``error`` is None when a whole answer arrived (``status``, ``headers``, ``body``);
+    otherwise a code of ``errors``. ``leaving`` is True if the executor must get no new
+    request until its ``/health`` says that it is live.
+    """
+
+    verdict: Verdict
+    error: str | None
+    message: str
+    leaving: bool
+    status: int | None = None
+    headers: tuple = ()
+    content_type: str = ""
+    body: bytes = b""
+
+
+class Upstream(NamedTuple):
+    """Operations on executors.
+
+    ``run(address, operation, request_id, headers, body, timeout_s, on_done)`` gives an
+    Answer; ``health(address, on_done)`` gives the report or None.
+    """
+
+    run: object
+    health: object
+
+
+def _without_answer(result):
+    verdict = Verdict.MAY_HAVE_RUN if result.sent else Verdict.NOT_RUN
+    code = DEADLINE_EXCEEDED if result.error == "timeout" else UPSTREAM_FAILED
+    leaving = result.error in ("connect_failed", "closed")
+    return Answer(verdict, code, f"upstream: {result.error}", leaving)
+
+
+def read_answer(result: HttpResult, request_id):
+    """Return the Answer in an HttpResult of a request with ``request_id``."""
+    if result.status is None:
+        return _without_answer(result)
+    headers = result.headers
+    echoed = headers.get("x-request-id")
+    if echoed is not None and echoed != request_id:
+        # A late answer to an earlier request on this connection.
+        text = "the answer belongs to another request"
+        return Answer(Verdict.MAY_HAVE_RUN, UPSTREAM_FAILED, text, False)
+    leaving = headers.get("x-state") == "leaving"
+    if result.status == 503 and headers.get("x-not-run") == "1":
+        text = "the upstream refused the request"
+        return Answer(Verdict.NOT_RUN, UPSTREAM_FAILED, text, leaving)
+    passed = tuple(item for item in headers.items() if item[0] not in HOP_HEADERS)
+    kind = headers.get("content-type", "application/octet-stream")
+    return Answer(
+        Verdict.RAN, None, "", leaving, result.status, passed, kind, result.body
+    )
+
+
+def connect_upstream(client):
+    """Return the Upstream operations over an HttpClient."""
+
+    def run(address, operation, request_id, headers, body, timeout_s, on_done):
+        timeout_ms = max(1, int(timeout_s * 1000))
+        client.request(
+            address,
+            "POST",
+            f"/run/{operation}",
+            lambda result: on_done(read_answer(result, request_id)),
+            headers=(
+                ("X-Request-Id", request_id),
+                ("X-Timeout-Ms", str(timeout_ms)),
+                *headers,
+            ),
+            body=body,
+            timeout_s=timeout_s,
+        )
+
+    def health(address, on_done):
+        def finish(result):
+            report = result.json() if result.status == 200 else None
+            on_done(report if isinstance(report, dict) else None)
+
+        client.request(address, "GET", "/health", finish, timeout_s=HEALTH_TIMEOUT_S)
+
+    return Upstream(run, health)
--- /dev/null
+++ b/tests/fixtures_entry.py
@@ -0,0 +1,291 @@
+"""Entries with executors and a platform in one loop, and a simple router."""
+
+import itertools
+import types
+from collections import deque
+from typing import Any, NamedTuple
+
+import msgspec
+import pytest
+
+from cornelward import settings
+from cornelward.compose import build_entry
+from cornelward.http_client import HttpClient
+from cornelward.http_server import HttpServer
+from cornelward.loop import Loop
+from cornelward.verdicts import Verdict, is_retry_safe
+from standins import executor, platform
+
+LIMIT_S = 60
+
+OBJECTS = [
+    {"kind": "region", "name": "laurentides", "failure_domains": ["l1"]},
+    {"kind": "pool", "name": "front", "region": "laurentides", "holds": "executors"},
+    {"kind": "pool", "name": "back", "region": "laurentides", "holds": "workers"},
+    {"kind": "policy", "name": "quick", "type": "request"},
+    {"kind": "policy", "name": "bulk", "type": "batch"},
+    {"kind": "team", "name": "clerks", "quota": {"cpu": 64}},
+    {
+        "kind": "workload",
+        "name": "quotes",
+        "type": "request",
+        "policy": "quick",
+        "pool": "front",
+        "operations": [
+            {"name": "price", "idempotent": True},
+            {"name": "note"},
+            {"name": "book", "must_not_repeat": True},
+        ],
+    },
+    {
+        "kind": "workload",
+        "name": "manifests",
+        "type": "batch",
+        "policy": "bulk",
+        "pool": "back",
+        "team": "clerks",
+        "demand": {"cpu": 1, "memory_mb": 512},
+    },
+]
+
+
+class Identity(NamedTuple):
+    id: str
+    incarnation: int
+    failure_domain: str
+    region: str
+    peer_address: str
+    http_address: str
+
+
+class Request(NamedTuple):
+    request_id: str
+    service: str
+    operation: str
+    deadline: float
+    idempotent: bool
+    forwarded: bool
+
+
+class Outcome(NamedTuple):
+    verdict: Verdict
+    error: str | None
+    leaving: bool
+    run_s: float
+
+
+class Dispatch(NamedTuple):
+    request_id: str
+    executor: str
+    address: str
+    credit_id: int | None
+
+
+class Refuse(NamedTuple):
+    request_id: str
+    code: str
+    message: str
+    retry_after_ms: int | None
+
+
+class _State:
+    def __init__(self):
+        self.free = {}
+        self.queue = deque()
+        self.work = {}
+        self.left = False
+
+
+def _dispatch(state, now):
+    effects = []
+    while state.queue:
+        req = state.queue[0]
+        if req.deadline <= now:
+            state.queue.popleft()
+            effects.append(Refuse(req.request_id, "deadline_exceeded", "late", None))
+            continue
+        address = max(state.free, key=state.free.get, default=None)
+        if address is None or state.free[address] == 0:
+            break
+        state.queue.popleft()
+        state.free[address] -= 1
+        state.work[req.request_id] = req, address
+        effects.append(Dispatch(req.request_id, address, address, None))
+    return effects
+
+
+def _submit(state, now, req):
+    state.queue.append(req)
+    return _dispatch(state, now)
+
+
+def _complete(state, now, request_id, outcome):
+    req, address = state.work.pop(request_id)
+    state.free[address] += 1
+    retried = (
+        outcome.verdict is not Verdict.RAN
+        and req.deadline > now
+        and is_retry_safe(outcome.verdict, req.idempotent)
+    )
+    if retried:
+        state.queue.append(req)
+    return retried, _dispatch(state, now)
+
+
+def _cancel(state, now, request_id):
+    state.queue = deque(r for r in state.queue if r.request_id != request_id)
+    return []
+
+
+def _update_members(state, now, instances):
+    for item in instances:
+        if item["kind"] == "executor":
+            state.free.setdefault(item["address"], item["slots"])
+    return _dispatch(state, now)
+
+
+def _leave(state, now):
+    state.left = True
+    return []
+
+
+def simple_router():
+    """Return a router that sends work to any free slot, first in, first out."""
+    return types.SimpleNamespace(
+        Identity=Identity,
+        Request=Request,
+        Outcome=Outcome,
+        new_router=lambda cfg, identity, rng: _State(),
+        submit=_submit,
+        complete=_complete,
+        cancel=_cancel,
+        receive=lambda state, now, envelope: [],
+        update_members=_update_members,
+        update_config=lambda state, now, version, objects: [],
+        tick=_dispatch,
+        next_wakeup=lambda state: None,
+        leave=_leave,
+        is_drained=lambda state: state.left,
+        dump=lambda state, now: {"queued": len(state.queue)},
+    )
+
+
+class Cluster:
+    """Platform, executors and entries on one loop."""
+
+    def __init__(self, core=None):
+        self.loop = Loop()
+        self.core = core
+        self.client = HttpClient(self.loop)
+        self.servers = []
+        self.entries = []
+        self.platform = self._serve(platform, {})
+        self.ids = itertools.count(1)
+
+    def _serve(self, module, cfg):
+        handle, on_ready = module.build(self.loop, cfg)
+        server = HttpServer(self.loop, ("127.0.0.1", 0), handle)
+        self.servers.append(server)
+        on_ready(server.address)
+        return server.address
+
+    def add_executor(self, **changes):
+        """Start an executor; returns its address."""
+        cfg = {
+            **executor.DEFAULTS,
+            "id": f"x{next(self.ids)}",
+            "service": "quotes",
+            "failure_domain": "l1",
+            "region": "laurentides",
+            "platform_address": self.platform,
+            **changes,
+        }
+        return self._serve(executor, cfg)
+
+    def add_entry(self, **changes):
+        """Start an entry; returns it."""
+        cfg = {
+            **settings.ENTRY,
+            "id": f"e{next(self.ids)}",
+            "failure_domain": "l1",
+            "region": "laurentides",
+            "platform_address": self.platform,
+            "platform_timeout_s": 0.5,
+            "config_poll_s": 0.1,
+            "members_poll_s": 0.1,
+            "tick_s": 0.05,
+            **changes,
+        }
+        entry = build_entry(cfg, self.loop, self.core)
+        self.entries.append(entry)
+        return entry
+
+    def until(self, condition):
+        """Turn the loop until a condition holds."""
+        assert self.loop.run_until(condition, LIMIT_S), "the condition never held"
+
+    def start_call(self, address, method, path, value=None, headers=()):
+        """Send a request; returns a list that its HttpResult is put into."""
+        body = value if isinstance(value, bytes) else b""
+        if value is not None and not isinstance(value, bytes):
+            body = msgspec.json.encode(value)
+        results = []
+        self.client.request(
+            address,
+            method,
+            path,
+            results.append,
+            headers=headers,
+            body=body,
+            timeout_s=LIMIT_S,
+        )
+        return results
+
+    def call(self, address, method, path, value=None, headers=()) -> Any:
+        """Send a request and return its HttpResult."""
+        results = self.start_call(address, method, path, value, headers)
+        self.until(lambda: results)
+        return results[0]
+
+    def switch(self, address, **changes):
+        """Set switches of a stand-in."""
+        self.call(address, "POST", "/switch", changes)
+
+    def configure(self, entry, objects=None):
+        """Publish a configuration through an entry and wait until all are ready."""
+        version = entry.follower.document["version"]
+        body = {"parent": version, "objects": objects or OBJECTS}
+        result = self.call(entry.identity.http_address, "PUT", "/v1/config", body)
+        assert result.status == 200, result
+        self.until(lambda: all(e.is_ready() for e in self.entries))
+        return result.json()["version"]
+
+    def close(self):
+        """Close all sockets."""
+        for server in self.servers + [e.common.server for e in self.entries]:
+            server.server.close()
+        for entry in self.entries:
+            entry.common.peers.close()
+
+
+@pytest.fixture(name="cluster")
+def entry_cluster():
+    """A cluster whose entries use the simple router."""
+    made = Cluster(simple_router())
+    yield made
+    made.close()
+
+
+@pytest.fixture(name="ready")
+def ready_entry(cluster):
+    """Return (cluster, entry, executor address, ask) of a configured entry."""
+    upstream = cluster.add_executor()
+    entry = cluster.add_entry()
+    cluster.configure(entry)
+    cluster.until(lambda: entry.state.free)
+
+    def ask(method, path, value=None, headers=()):
+        address = entry.identity.http_address
+        return cluster.call(address, method, path, value, headers)
+
+    return cluster, entry, upstream, ask
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,99 @@
+"""Guards the path of a request through an entry, and its operators' routes."""
+
+import pytest
+from fixtures_entry import OBJECTS, entry_cluster, ready_entry  # noqa: F401
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, ContainsDict, Equals, HasLength
+
+
+def test_request_reaches_an_executor_and_comes_back_whole(ready):
+    cluster, _, upstream, ask = ready
+    headers = (("X-Request-Id", "r1"), ("Content-Type", "text/plain"))
+    result = ask("POST", "/v1/services/quotes/price", b"42", headers)
+    assert_that((result.status, result.body), Equals((200, b"42")))
+    assert_that(
+        result.headers,
+        ContainsDict(
+            {"x-verdict": Equals("RAN"), "content-type": Equals("text/plain")}
+        ),
+    )
+    ran = cluster.call(upstream, "GET", "/record").json()["ran"]
+    assert_that([item[:2] for item in ran], Equals([["r1", "price"]]))
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "headers", "code"),
+    [
+        ("POST", "/v1/services/quotes/unknown", (), "not_found"),
+        ("GET", "/v1/services/quotes/price", (), "not_found"),
+        ("POST", "/v1/services/quotes/price", (("X-Timeout-Ms", "0"),), "bad_request"),
+        ("POST", "/v1/services/quotes/price", (("X-Timeout-Ms", "x"),), "bad_request"),
+        ("POST", "/v1/services/quotes/book", (), "bad_request"),
+        ("PATCH", "/v1/jobs", (), "not_found"),
+        ("GET", "/", (), "not_found"),
+    ],
+)
+def test_bad_request_is_refused_as_not_run(ready, method, path, headers, code):
+    *_, ask = ready
+    error = ask(method, path, b"{}", headers).json()["error"]
+    assert_that((error["code"], error["verdict"]), Equals((code, "NOT_RUN")))
+
+
+def test_job_is_written_with_inbox_row_once_for_a_key(ready):
+    cluster, _, _, ask = ready
+    body = {"workload": "manifests", "key": "m-1", "tasks": 2}
+    first = ask("POST", "/v1/jobs", body)
+    again = ask("POST", "/v1/jobs", body)
+    job_id = first.json()["id"]
+    assert_that((first.status, again.status), Equals((201, 200)))
+    assert_that(again.json(), Equals({"id": job_id, "created": False}))
+    record = ask("GET", f"/v1/jobs/{job_id}").json()
+    assert_that(record["tasks"], HasLength(2))
+    assert_that(record["state"], Equals("queued"))
+    assert_that(ask("DELETE", f"/v1/jobs/{job_id}").status, Equals(202))
+    rows = cluster.call(cluster.platform, "GET", "/table?prefix=inbox/").json()["rows"]
+    assert_that(
+        [row["key"] for row in rows],
+        Equals([f"inbox/l1/{job_id}/cancel", f"inbox/l1/{job_id}/submit"]),
+    )
+
+
+def test_lost_answer_of_a_job_submission_creates_it_once(ready):
+    cluster, _, _, ask = ready
+    cluster.switch(cluster.platform, lose_answers=1)
+    result = ask("POST", "/v1/jobs", {"workload": "manifests"})
+    assert_that(result.status, Equals(201))
+    rows = cluster.call(cluster.platform, "GET", "/table?prefix=jobs/").json()["rows"]
+    assert_that(rows, HasLength(1))
+
+
+def test_job_is_refused_as_not_run_while_the_table_is_down(ready):
+    cluster, _, _, ask = ready
+    cluster.switch(cluster.platform, down=True)
+    error = ask("POST", "/v1/jobs", {"workload": "manifests"}).json()["error"]
+    assert_that(error["code"], Equals("platform_unavailable"))
+
+
+@pytest.mark.proof
+def test_broken_or_raced_configuration_is_refused_whole(ready):
+    _, entry, _, ask = ready
+    version = entry.follower.document["version"]
+    broken = [item for item in OBJECTS if item["kind"] != "policy"]
+    result = ask("PUT", "/v1/config", {"parent": version, "objects": broken})
+    assert_that(result.status, Equals(422))
+    raced = ask("PUT", "/v1/config", {"parent": version - 1, "objects": OBJECTS})
+    assert_that(raced.status, Equals(409))
+    assert_that(raced.json()["error"], ContainsDict({"current": Equals(version)}))
+    assert_that(ask("GET", "/v1/config").json()["version"], Equals(version))
+
+
+def test_metrics_and_state_tell_what_happened(ready):
+    *_, ask = ready
+    ask("POST", "/v1/services/quotes/price", b"1")
+    text = ask("GET", "/metrics").body.decode()
+    line = 'cornelward_requests_total{service="quotes",status="200",verdict="RAN"} 1.0'
+    assert_that(text, Contains(line))
+    state = ask("GET", "/state").json()
+    assert_that(state, ContainsDict({"config_version": Equals(1)}))
+    assert_that(ask("GET", "/readyz").status, Equals(200))
+    assert_that(ask("GET", "/healthz").status, Equals(200))
