--- /dev/null
+++ b/cornelward/borrowing.py
@@ -0,0 +1,255 @@
+"""Slots between entries: credits asked for, granted, used and returned.
+
+An entry with a queue asks the peers of its view; an owner without a queue grants
+credits for free slots, at once or when a slot becomes free shortly after.
+"""
+
+from typing import NamedTuple
+
+from . import slots, views
+from .classes import LONG, SHORT
+from .messages import Credit, SlotGrant, SlotRequest, SlotReturn
+from .views import CREDIT_TTL_S, SendMessage
+
+__all__ = [
+    "Lease",
+    "borrow",
+    "on_grant",
+    "on_heartbeat_credits",
+    "on_request",
+    "on_return",
+    "return_unused",
+    "serve_demand",
+]
+
+# A peer that has not answered a SlotRequest is asked again after this time.
+ASK_AGAIN_S = 0.25
+# An owner remembers a SlotRequest that it could not grant for this long. The grant
+# counts from when the request was sent, so part of the credit's time must be left.
+DEMAND_S = 0.4
+MAX_CREDITS_ASKED = 64
+
+
+class Lease(NamedTuple):
+    """A credit that this entry holds; ``owner`` is (id, incarnation)."""
+
+    credit: Credit
+    owner: tuple
+    usable_until: float
+
+
+class Demand(NamedTuple):
+    """A peer's wish that could not be granted yet."""
+
+    peer: str
+    incarnation: int
+    request: SlotRequest
+    until: float
+
+
+def borrow(state, now, service):
+    """Ask peers for slots while requests are queued; returns effects."""
+    effects = []
+    for cls in (SHORT, LONG):
+        wanted = service.queues[cls].count
+        if wanted:
+            effects += _ask(state, now, service, cls, wanted)
+    return effects
+
+
+def _ask(state, now, service, cls, wanted):
+    effects = []
+    for peer in _peers_by_load(state, service.name):
+        if wanted <= 0:
+            break
+        key = peer, service.name, cls
+        if now < state.asked.get(key, 0.0):
+            continue
+        state.asked[key] = now + ASK_AGAIN_S
+        count = min(wanted, MAX_CREDITS_ASKED)
+        reported = state.peer_free.get((peer, service.name), 0)
+        message = SlotRequest(service.name, cls, count, now)
+        effects.append(SendMessage(state.view.members[peer][0], message))
+        wanted -= reported
+    return effects
+
+
+def _peers_by_load(state, service):
+    peers = views.others(state.view)
+    return sorted(peers, key=lambda peer: -state.peer_free.get((peer, service), 0))
+
+
+def on_request(state, now, envelope):
+    """Grant credits for free slots, or remember the request; returns effects."""
+    sender, incarnation, request = envelope
+    member = state.view.members.get(sender)
+    if member is None or member[1] != incarnation:
+        return []
+    service = state.services.get(request.service)
+    if service is None or request.cls not in (SHORT, LONG):
+        return []
+    demand = Demand(sender, incarnation, request, now + DEMAND_S)
+    granted, effects = _grant(state, now, service, demand)
+    if granted < request.count:
+        left = request._replace(count=request.count - granted)
+        key = sender, request.service, request.cls
+        state.demands[key] = demand._replace(request=left)
+    return effects
+
+
+def _grant(state, now, service, demand):
+    """Return (number granted, effects)."""
+    request = demand.request
+    ttl_s = min(CREDIT_TTL_S, state.view.authority_until - now)
+    if ttl_s <= 0 or service.queues[request.cls].count:
+        return 0, []
+    credits = slots.grant(
+        state.slots,
+        service.name,
+        request.cls,
+        request.count,
+        (demand.peer, demand.incarnation),
+        now + ttl_s,
+    )
+    if not credits:
+        return 0, []
+    message = SlotGrant(service.name, request.cls, credits, ttl_s, request.sent_at)
+    address = state.view.members[demand.peer][0]
+    return len(credits), [SendMessage(address, message)]
+
+
+def serve_demand(state, now, service):
+    """Grant slots that became free to peers that asked before; returns effects."""
+    effects = []
+    for cls in (SHORT, LONG):
+        if not state.slots.free.get((service.name, cls)):
+            continue
+        for key in [key for key in state.demands if key[1:] == (service.name, cls)]:
+            effects += _serve(state, now, service, key)
+    return effects
+
+
+def _serve(state, now, service, key):
+    demand = state.demands[key]
+    member = state.view.members.get(demand.peer)
+    if now >= demand.until or member is None or member[1] != demand.incarnation:
+        del state.demands[key]
+        return []
+    granted, effects = _grant(state, now, service, demand)
+    count = demand.request.count - granted
+    if count <= 0:
+        del state.demands[key]
+    elif granted:
+        request = demand.request._replace(count=count)
+        state.demands[key] = demand._replace(request=request)
+    return effects
+
+
+def on_grant(state, now, envelope):
+    """Take in credits, each once; the caller dispatches then."""
+    sender, incarnation, grant = envelope
+    service = state.services.get(grant.service)
+    usable_until = grant.sent_at + min(grant.ttl_s, CREDIT_TTL_S)
+    if service is None or grant.cls not in (SHORT, LONG):
+        return
+    state.asked.pop((sender, grant.service, grant.cls), None)
+    for credit in grant.credits:
+        key = sender, incarnation, credit.credit_id
+        # A duplicate arrives within the credit's time or is useless anyway.
+        if key in state.seen_credits:
+            continue
+        state.seen_credits[key] = usable_until
+        lease = Lease(credit, (sender, incarnation), usable_until)
+        if now < usable_until:
+            service.credits[grant.cls].append(lease)
+        else:
+            state.unused.append(lease)
+
+
+def return_unused(state, now, service):
+    """Return credits that no request needs; returns effects."""
+    for cls in (SHORT, LONG):
+        credits = service.credits[cls]
+        if credits and not service.queues[cls].count:
+            state.unused.extend(credits)
+            credits.clear()
+    by_owner = {}
+    for lease in state.unused:
+        by_owner.setdefault(lease.owner, []).append(lease.credit.credit_id)
+    state.unused.clear()
+    effects = []
+    for (owner, incarnation), credit_ids in by_owner.items():
+        member = state.view.members.get(owner)
+        if member is not None and member[1] == incarnation:
+            effects.append(SendMessage(member[0], SlotReturn(credit_ids)))
+    return effects
+
+
+def forget_seen(state, now):
+    """Forget credits whose time is over."""
+    old = [key for key, until in state.seen_credits.items() if now >= until]
+    for key in old:
+        del state.seen_credits[key]
+
+
+def on_return(state, envelope):
+    """Free the slots of returned credits; returns the services concerned."""
+    services = set()
+    for credit_id in envelope.message.credits:
+        credit = state.slots.credits.get(credit_id)
+        if credit is None or credit.borrower != envelope[:2]:
+            continue
+        executor = slots.return_credit(state.slots, credit_id)
+        services.add(executor.service)
+    return services
+
+
+def on_heartbeat_credits(state, now, envelope):
+    """Note which credits the sender uses; lost ones become orphans.
+
+    A credit whose time is over and that is not in use was returned in a message that
+    was lost, or its request may still run: ``/health`` tells.
+    """
+    borrower = envelope[:2]
+    in_use = set(envelope.message.credits)
+    for credit_id, credit in list(state.slots.credits.items()):
+        if credit.borrower[0] != borrower[0]:
+            continue
+        if credit.borrower == borrower and credit_id in in_use:
+            credit.in_use_at = credit.in_use_at or now
+        elif now > credit.usable_until + slots.LEASE_MARGIN_S:
+            orphan_credit(state, now, credit_id)
+
+
+def orphan_credit(state, now, credit_id):
+    """Keep the slot of a credit that nobody answers for as an orphan."""
+    executor = state.slots.credits[credit_id].executor
+    service = state.services.get(executor.service)
+    max_run_s = service.policy.max_run_s if service else 0.0
+    slots.return_credit(state.slots, credit_id, now + max_run_s)
+
+
+def orphan_credits_of_gone(state, now):
+    """Orphan the credits of entries that are not in the view; returns nothing."""
+    for credit_id, credit in list(state.slots.credits.items()):
+        member = state.view.members.get(credit.borrower[0])
+        gone = member is None or member[1] != credit.borrower[1]
+        if gone and now > credit.usable_until + slots.LEASE_MARGIN_S:
+            orphan_credit(state, now, credit_id)
+
+
+def mark_long_credits(state, now, service):
+    """Count credits that have been used beyond the threshold as long."""
+    limit = now - service.policy.long_threshold_s
+    for credit_id, credit in state.slots.credits.items():
+        if credit.executor.service != service.name or credit.in_use_at is None:
+            continue
+        if credit.in_use_at < limit:
+            slots.mark_long(state.slots, credit.executor, credit_id)
+
+
+def free_now(state, now, service_name):
+    """Return how many slots this entry may use or grant now."""
+    if not views.has_authority(state.view, now):
+        return 0
+    return state.slots.free.get((service_name, SHORT), 0)
--- /dev/null
+++ b/cornelward/catalog.py
@@ -0,0 +1,124 @@
+"""Services and executors of a router, from configuration and membership."""
+
+from . import errors, routing, slots, views
+from .queues import Policy, Service, parse_policy
+
+__all__ = ["assign_executors", "update_executors", "update_services"]
+
+
+def assign_executors(state):
+    """Move executors to their owners after a view was adopted."""
+    for executor in state.slots.executors.values():
+        _assign(state, executor, state.view.continuous)
+
+
+def _assign(state, executor, keep):
+    owned = views.owner_of(state.view, executor.id) == state.identity.id
+    owned = owned and views.is_member(state.view)
+    if keep and owned and executor.owned and executor.ready:
+        return
+    slots.claim(state.slots, executor, owned, views.claim_time(state.view))
+
+
+def update_executors(state, instances):
+    """Take in the platform's list of instances."""
+    domain = state.identity.failure_domain
+    listed = set()
+    for instance in instances:
+        if instance["kind"] != "executor" or instance["failure_domain"] != domain:
+            continue
+        listed.add(instance["id"])
+        _update_executor(state, instance)
+    for executor_id in set(state.slots.executors) - listed:
+        executor = state.slots.executors[executor_id]
+        executor.listed = "gone"
+        slots.update_index(state.slots, executor)
+        if not executor.runs and not executor.credits:
+            slots.remove_executor(state.slots, executor_id)
+    _count_live(state)
+
+
+def _update_executor(state, instance):
+    service = state.services.get(instance["service"])
+    policy = service.policy if service else Policy()
+    known = state.slots.executors.get(instance["id"])
+    executor = slots.add_executor(
+        state.slots,
+        instance["id"],
+        instance["service"],
+        instance["address"],
+        instance["slots"],
+        policy.reserved_short_slots,
+    )
+    executor.listed = instance["state"]
+    if executor is not known:
+        _assign(state, executor, keep=False)
+    slots.update_index(state.slots, executor)
+
+
+def _count_live(state):
+    for service in state.services.values():
+        service.live = 0
+    for executor in state.slots.executors.values():
+        service = state.services.get(executor.service)
+        if service is not None and executor.listed == "live":
+            service.live += 1
+            executor.reserved = service.policy.reserved_short_slots
+            slots.update_index(state.slots, executor)
+
+
+def update_services(state, version, objects):
+    """Put a newer configuration in force; returns effects."""
+    state.config_version = version
+    by_kind = {}
+    for item in objects:
+        by_kind.setdefault(item["kind"], {})[item["name"]] = item
+    policies = by_kind.get("policy", {})
+    wanted = {}
+    for name, workload in by_kind.get("workload", {}).items():
+        if workload.get("type") == "request":
+            policy = parse_policy(policies.get(workload.get("policy"), {}))
+            wanted[name] = policy, _domains(state.identity, by_kind, workload)
+    for name, (policy, domains) in wanted.items():
+        service = state.services.get(name)
+        if service is None:
+            state.services[name] = Service(name, policy, domains)
+        else:
+            service.policy, service.domains = policy, domains
+    effects = []
+    for name in set(state.services) - set(wanted):
+        effects += _drop_service(state, name)
+    _count_live(state)
+    return effects
+
+
+def _domains(identity, by_kind, workload):
+    """Return the other failure domains of a workload's pool: (own region, others)."""
+    pool = by_kind.get("pool", {}).get(workload.get("pool"), {})
+    regions = by_kind.get("region", {})
+    names = pool.get("regions") or [pool.get("region")]
+    allowed = set(pool.get("failure_domains") or ())
+    own, elsewhere = [], []
+    for name in names:
+        for domain in regions.get(name, {}).get("failure_domains", ()):
+            if domain == identity.failure_domain or (allowed and domain not in allowed):
+                continue
+            (own if name == identity.region else elsewhere).append(domain)
+    return own, elsewhere
+
+
+def _drop_service(state, name):
+    """Refuse what is queued for a service that no longer exists."""
+    service = state.services.pop(name)
+    effects = []
+    for queue in service.queues.values():
+        for work in list(queue.entries):
+            if work.state is routing.QUEUED:
+                routing.cancel(state, 0.0, work.request.request_id)
+                message = f"no service {name}"
+                effects.append(
+                    routing.Refuse(
+                        work.request.request_id, errors.NOT_FOUND, message, None
+                    )
+                )
+    return effects
--- /dev/null
+++ b/cornelward/classes.py
@@ -0,0 +1,56 @@
+"""Request classes: short or long, from observed run times.
+
+Declared run times are far from the truth, so each (service, operation) keeps an
+exponentially decayed quantile of what was observed. Times are in seconds.
+"""
+
+__all__ = ["LONG", "SHORT", "ClassTable", "class_of", "mean_run", "observe"]
+
+SHORT = "short"
+LONG = "long"
+
+# Quantile that decides the class: rare stragglers do not make an operation long.
+QUANTILE = 0.9
+# Relative step of the quantile estimate for one observation.
+QUANTILE_STEP = 0.15
+# Weight of one observation in the mean run time.
+MEAN_WEIGHT = 0.1
+# A long operation becomes short below this share of the threshold (hysteresis).
+SHORT_AGAIN = 0.5
+
+
+class ClassTable:
+    """Run time statistics: (service, operation) to ``[quantile, mean, class]``."""
+
+    def __init__(self):
+        self.operations = {}
+
+
+def class_of(table, service, operation):
+    """Return SHORT or LONG; an operation without observations is SHORT."""
+    stats = table.operations.get((service, operation))
+    return SHORT if stats is None else stats[2]
+
+
+def mean_run(table, service, operation, default_s):
+    """Return the mean run time of an operation, or ``default_s`` if unknown."""
+    stats = table.operations.get((service, operation))
+    return default_s if stats is None else stats[1]
+
+
+def observe(table, service, operation, run_s, threshold_s):
+    """Record a run time, or the time that a request has been running so far."""
+    stats = table.operations.get((service, operation))
+    if stats is None:
+        cls = LONG if run_s > threshold_s else SHORT
+        table.operations[service, operation] = [max(run_s, 1e-4), run_s, cls]
+        return
+    if run_s > stats[0]:
+        stats[0] *= 1 + QUANTILE_STEP * QUANTILE
+    else:
+        stats[0] *= 1 - QUANTILE_STEP * (1 - QUANTILE)
+    stats[1] += MEAN_WEIGHT * (run_s - stats[1])
+    if stats[0] > threshold_s:
+        stats[2] = LONG
+    elif stats[0] < threshold_s * SHORT_AGAIN:
+        stats[2] = SHORT
--- /dev/null
+++ b/cornelward/queues.py
@@ -0,0 +1,206 @@
+"""Queues of requests, per service and class, and the policy of a service.
+
+Entries leave a queue lazily: a cancelled or expired one stays in the deque until it is
+reached, so no operation scans a queue. Times are seconds.
+"""
+
+import heapq
+from collections import deque
+from typing import NamedTuple
+
+from .classes import LONG, SHORT
+
+__all__ = [
+    "FORWARDED",
+    "QUEUED",
+    "RUNNING",
+    "Policy",
+    "Request",
+    "Service",
+    "Work",
+    "cancel_queued",
+    "discard_expired",
+    "expected_wait",
+    "parse_policy",
+    "pop_work",
+    "push_work",
+    "waited_share",
+]
+
+QUEUED = "queued"
+RUNNING = "running"
+FORWARDED = "forwarded"
+ENDED = "ended"
+
+# From this share of its time spent waiting, the oldest entry is a sign of overload.
+OVERLOAD_SHARE = 0.5
+# The expiry heap is rebuilt when it is this much longer than the queue.
+HEAP_SLACK = 256
+
+
+class Request(NamedTuple):
+    """A caller's request; ``deadline`` is monotonic seconds."""
+
+    request_id: str
+    service: str
+    operation: str
+    deadline: float
+    idempotent: bool = False
+    forwarded: bool = False
+
+
+class Policy(NamedTuple):
+    """Request policy; the defaults hold for keys that an object leaves out."""
+
+    deadline_s: float = 30.0
+    queue_limit: int = 1_000
+    retry_budget: float = 0.1
+    reserved_short_slots: int = 2
+    long_threshold_s: float = 0.5
+    max_run_s: float = 60.0
+    spill: str = "none"
+    spill_wait_s: float = 0.1
+
+
+def parse_policy(fields):
+    """Return the Policy of an operators' object."""
+    values = {}
+    for name, default in Policy._field_defaults.items():
+        if name.endswith("_s"):
+            key, scale = name.removesuffix("_s") + "_ms", 1e-3
+        else:
+            key, scale = name, 1
+        if key in fields:
+            value = fields[key]
+            values[name] = value * scale if scale != 1 else type(default)(value)
+    return Policy(**values)
+
+
+class Work:
+    """State of one request in this entry."""
+
+    __slots__ = (
+        "attempts",
+        "cls",
+        "credit",
+        "executor",
+        "queued_at",
+        "request",
+        "service",
+        "started_at",
+        "state",
+        "target",
+    )
+
+    def __init__(self, request, service, cls, now):
+        self.request = request
+        self.service = service
+        self.cls = cls
+        self.queued_at = now
+        self.started_at = None
+        self.state = QUEUED
+        self.executor = None
+        self.credit = None
+        self.target = None
+        self.attempts = 0
+
+
+class ClassQueue:
+    """Requests of one class; ``count`` excludes entries that were cancelled."""
+
+    def __init__(self):
+        self.entries = deque()
+        self.expiry = []
+        self.order = 0
+        self.count = 0
+        self.running = 0
+        self.mean_run_s = None
+
+
+class Service:
+    """State of one service in this entry."""
+
+    def __init__(self, name, policy, domains):
+        self.name = name
+        self.policy = policy
+        # Failure domains that may run it, own one excluded: (same region, others).
+        self.domains = domains
+        self.queues = {SHORT: ClassQueue(), LONG: ClassQueue()}
+        self.credits = {SHORT: deque(), LONG: deque()}
+        self.live = 0
+        self.started = deque()
+        # Requests and retries in the present and the previous window.
+        self.window_at = 0.0
+        self.window = [0, 0]
+        self.previous = [0, 0]
+        self.spill = {}
+
+
+def push_work(queue, work, front=False):
+    """Add a request to its queue."""
+    work.state = QUEUED
+    if front:
+        queue.entries.appendleft(work)
+    else:
+        queue.entries.append(work)
+    queue.count += 1
+    queue.order += 1
+    heapq.heappush(queue.expiry, (work.request.deadline, queue.order, work))
+    if len(queue.expiry) > 2 * queue.count + HEAP_SLACK:
+        queue.expiry = [item for item in queue.expiry if item[2].state is QUEUED]
+        heapq.heapify(queue.expiry)
+
+
+def cancel_queued(queue, work):
+    """Take a queued request out, whatever its position."""
+    work.state = ENDED
+    queue.count -= 1
+    if queue.count == 0:
+        queue.entries.clear()
+
+
+def _head(queue):
+    while queue.entries and queue.entries[0].state is not QUEUED:
+        queue.entries.popleft()
+    return queue.entries[0] if queue.entries else None
+
+
+def waited_share(queue, now):
+    """Return which share of its time the oldest entry has waited, 0 if empty."""
+    work = _head(queue)
+    if work is None:
+        return 0.0
+    allowed = max(work.request.deadline - work.queued_at, 1e-6)
+    return (now - work.queued_at) / allowed
+
+
+def pop_work(queue, now):
+    """Return the request to start next, or None; call ``discard_expired`` before.
+
+    First in, first out; under overload the newest, which still has time.
+    """
+    newest = waited_share(queue, now) > OVERLOAD_SHARE
+    while queue.entries:
+        work = queue.entries.pop() if newest else queue.entries.popleft()
+        if work.state is QUEUED:
+            queue.count -= 1
+            return work
+    return None
+
+
+def discard_expired(queue, now):
+    """Take out and return the requests whose deadline has passed."""
+    expired = []
+    while queue.expiry and queue.expiry[0][0] <= now:
+        work = heapq.heappop(queue.expiry)[2]
+        if work.state is QUEUED:
+            cancel_queued(queue, work)
+            expired.append(work)
+    return expired
+
+
+def expected_wait(queue):
+    """Return how long a new request would wait behind the queue, in seconds."""
+    if queue.mean_run_s is None:
+        return 0.0
+    return (queue.count + 1) * queue.mean_run_s / max(queue.running, 1)
--- /dev/null
+++ b/cornelward/router.py
@@ -0,0 +1,413 @@
+"""The request core of an entry: events in, effects out.
+
+Pure: time, the random source and messages are arguments. ``now`` is monotonic seconds.
+Every event returns a list of effects, except ``complete``, which returns
+``(retried, effects)``.
+"""
+
+from typing import NamedTuple
+
+from . import borrowing, catalog, errors, routing, slots, views
+from .classes import ClassTable, class_of
+from .messages import (
+    Heartbeat,
+    HeartbeatAck,
+    Leaving,
+    SlotGrant,
+    SlotRequest,
+    SlotReturn,
+    ViewAnnounce,
+)
+from .queues import Policy, Request, Work
+from .router_dump import dump
+from .routing import Dispatch, Forward, Outcome, Refuse
+from .slots import Probe, SlotTable
+from .views import ReadView, SendMessage, View, WriteView
+
+__all__ = [
+    "Dispatch",
+    "Forward",
+    "Identity",
+    "Outcome",
+    "Probe",
+    "ReadView",
+    "Refuse",
+    "Request",
+    "Router",
+    "SendMessage",
+    "WriteView",
+    "cancel",
+    "complete",
+    "dump",
+    "health",
+    "is_drained",
+    "leave",
+    "new_router",
+    "next_wakeup",
+    "receive",
+    "submit",
+    "tick",
+    "update_config",
+    "update_members",
+    "view_read",
+    "view_written",
+]
+
+# A gap between ticks of this many intervals is a pause of this process.
+PAUSE_TICKS = 4
+# Reads of the view within one view lease: a lost one must not end the authority.
+READS_PER_LEASE = 3
+# Credit ids carry the incarnation, so that a return meant for an earlier process with
+# the same id frees nothing.
+CREDIT_ID_BITS = 32
+INCARNATION_MASK = (1 << 30) - 1
+
+
+class Identity(NamedTuple):
+    """Who this entry is; addresses are "ip:port"."""
+
+    id: str
+    incarnation: int
+    failure_domain: str
+    region: str
+    peer_address: str
+    http_address: str
+
+
+class Router:
+    """State of the request core."""
+
+    def __init__(self, cfg, identity, rng):
+        self.cfg = cfg
+        self.identity = identity
+        self.rng = rng
+        self.view = View(identity, cfg["view_lease_s"], cfg["isolated_takeover_s"])
+        first = (identity.incarnation & INCARNATION_MASK) << CREDIT_ID_BITS
+        self.slots = SlotTable(first + 1)
+        self.classes = ClassTable()
+        self.services = {}
+        self.config_version = 0
+        self.objects = []
+        self.instances = []
+        # Request id to Work: queued, running or forwarded.
+        self.work = {}
+        self.credits_in_use = {}
+        self.unused = []
+        self.seen_credits = {}
+        self.asked = {}
+        self.demands = {}
+        self.peer_free = {}
+        self.peer_config = {}
+        self.counts = {}
+        self.seq = 0
+        self.heartbeat_at = 0.0
+        self.read_at = 0.0
+        self.last_seen = None
+        self.draining = False
+        self.announced = False
+        self.pending_write = None
+
+
+def new_router(cfg, identity, rng):
+    """Return the state at start; ``cfg`` is the entry's settings."""
+    return Router(cfg, identity, rng)
+
+
+def _observe_clock(state, now):
+    """Note a pause: others seem silent then, but it was this process that slept."""
+    if state.last_seen is not None:
+        gap_s = now - state.last_seen
+        if gap_s > PAUSE_TICKS * state.cfg["tick_s"]:
+            views.skip_pause(state.view, gap_s)
+            state.read_at = now
+    state.last_seen = now
+    views.refresh_authority(state.view, now)
+
+
+# Requests
+
+
+def submit(state, now, request):
+    """Admit a request; exactly one Dispatch, Forward or Refuse follows in time."""
+    service = state.services.get(request.service)
+    if service is None:
+        message = f"no service {request.service}"
+        return [Refuse(request.request_id, errors.NOT_FOUND, message, None)]
+    if state.draining:
+        message = "the entry is shutting down"
+        return [Refuse(request.request_id, errors.SHUTTING_DOWN, message, 0)]
+    cls = class_of(state.classes, request.service, request.operation)
+    work = Work(request, service, cls, now)
+    effects = routing.admit(state, now, work)
+    return effects + _balance(state, now, service)
+
+
+def complete(state, now, request_id, outcome):
+    """End an attempt; returns (retried, effects).
+
+    The caller is answered by the shell unless ``retried``.
+    """
+    work = state.work.get(request_id)
+    if work is None or work.state not in (routing.RUNNING, routing.FORWARDED):
+        return False, []
+    retried, effects = routing.finish(state, now, work, outcome)
+    effects += _balance(state, now, work.service)
+    return retried, effects + _depart(state, now)
+
+
+def cancel(state, now, request_id):
+    """Drop a request whose caller went away before dispatch."""
+    return routing.cancel(state, now, request_id)
+
+
+def _run_service(state, now, service):
+    return routing.dispatch(state, now, service) + _balance(state, now, service)
+
+
+def _balance(state, now, service):
+    """Borrow, lend and return slots after a change; returns effects."""
+    effects = []
+    if service.queues["short"].count or service.queues["long"].count:
+        effects += borrowing.borrow(state, now, service)
+    if state.demands:
+        effects += borrowing.serve_demand(state, now, service)
+    effects += borrowing.return_unused(state, now, service)
+    return effects
+
+
+# Messages
+
+
+def receive(state, now, envelope):
+    """Handle a message of a peer; other message types are ignored."""
+    _observe_clock(state, now)
+    handle = _RECEIVERS.get(type(envelope.message))
+    if handle is None or envelope.sender == state.identity.id:
+        return []
+    return handle(state, now, envelope)
+
+
+def _on_heartbeat(state, now, envelope):
+    message = envelope.message
+    effects = views.on_heartbeat(state.view, now, envelope)
+    member = state.view.members.get(envelope.sender)
+    if member is None or member[1] != envelope.incarnation:
+        return effects
+    for service in state.services:
+        key = envelope.sender, service
+        state.peer_free[key] = message.free_slots.get(service, 0)
+    borrowing.on_heartbeat_credits(state, now, envelope)
+    _refresh_claims(state)
+    return effects
+
+
+def _on_ack(state, now, envelope):
+    views.on_ack(state.view, now, envelope)
+    _refresh_claims(state)
+    return []
+
+
+def _on_announce(state, now, envelope):
+    message = envelope.message
+    if message.failure_domain != state.identity.failure_domain:
+        return []
+    if not views.adopt(state.view, now, message.epoch, message.members):
+        return []
+    return _view_adopted(state, now) + [ReadView()]
+
+
+def _on_leaving(state, now, envelope):
+    effects = views.on_leaving(state.view, now, envelope)
+    _refresh_claims(state)
+    return effects
+
+
+def _on_slot_request(state, now, envelope):
+    return borrowing.on_request(state, now, envelope)
+
+
+def _on_slot_grant(state, now, envelope):
+    borrowing.on_grant(state, now, envelope)
+    service = state.services.get(envelope.message.service)
+    return [] if service is None else _run_service(state, now, service)
+
+
+def _on_slot_return(state, now, envelope):
+    effects = []
+    for name in sorted(borrowing.on_return(state, envelope)):
+        if name in state.services:
+            effects += _run_service(state, now, state.services[name])
+    return effects
+
+
+_RECEIVERS = {
+    Heartbeat: _on_heartbeat,
+    HeartbeatAck: _on_ack,
+    Leaving: _on_leaving,
+    SlotGrant: _on_slot_grant,
+    SlotRequest: _on_slot_request,
+    SlotReturn: _on_slot_return,
+    ViewAnnounce: _on_announce,
+}
+
+
+# View
+
+
+def view_read(state, now, sent_at, row):
+    """Handle the answer to ReadView, None when the table failed."""
+    _observe_clock(state, now)
+    effects = []
+    if views.on_read(state.view, now, sent_at, row):
+        effects += _view_adopted(state, now)
+    return effects + _reconcile(state, now) + _run_all(state, now)
+
+
+def view_written(state, now, sent_at, result):
+    """Handle the result of WriteView: version, Conflict, or None when unknown."""
+    _observe_clock(state, now)
+    value, state.pending_write = state.pending_write, None
+    if value is None:
+        return []
+    adopted, effects = views.on_written(state.view, now, sent_at, result, value)
+    if adopted:
+        effects = _view_adopted(state, now) + effects
+    return effects + _run_all(state, now)
+
+
+def _reconcile(state, now):
+    write = views.reconcile(state.view, now)
+    if write is None:
+        return []
+    state.pending_write = write.value
+    return [write]
+
+
+def _view_adopted(state, now):
+    """Move executors to their owners of the new view and tell the members."""
+    catalog.assign_executors(state)
+    borrowing.orphan_credits_of_gone(state, now)
+    state.heartbeat_at = now
+    announce = views.announcement(state.view)
+    return _send_to_members(state, announce)
+
+
+def _send_to_members(state, message):
+    members = state.view.members
+    return [SendMessage(members[peer][0], message) for peer in views.others(state.view)]
+
+
+def _refresh_claims(state):
+    if all(executor.ready for executor in state.slots.owned.values()):
+        return
+    claim_at = views.claim_time(state.view)
+    for executor in state.slots.owned.values():
+        if not executor.ready:
+            executor.claim_at = claim_at
+
+
+# Platform
+
+
+def update_members(state, now, instances):
+    """Take in the platform's list of instances."""
+    catalog.update_executors(state, instances)
+    return _run_all(state, now)
+
+
+def update_config(state, now, version, objects):
+    """Put a newer configuration in force; an older one is ignored."""
+    if version <= state.config_version:
+        return []
+    effects = catalog.update_services(state, version, objects)
+    return effects + _run_all(state, now)
+
+
+def health(state, now, executor, sent_at, report):
+    """Handle the answer of ``/health``, None when there was none."""
+    known = state.slots.executors.get(executor)
+    if known is None:
+        return []
+    service = state.services.get(known.service)
+    max_run_s = service.policy.max_run_s if service else Policy().max_run_s
+    slots.apply_health(state.slots, known, sent_at, report, now + max_run_s)
+    return [] if service is None else _run_service(state, now, service)
+
+
+# Time
+
+
+def tick(state, now):
+    """Handle deadlines, heartbeats, probes and view reads."""
+    _observe_clock(state, now)
+    effects = []
+    if now >= state.read_at:
+        state.read_at = now + state.cfg["view_lease_s"] / READS_PER_LEASE
+        effects.append(ReadView())
+    if now >= state.heartbeat_at:
+        effects += _heartbeats(state, now)
+    _refresh_claims(state)
+    for executor in state.slots.owned.values():
+        slots.expire_orphans(state.slots, executor, now)
+    borrowing.orphan_credits_of_gone(state, now)
+    borrowing.forget_seen(state, now)
+    for service in state.services.values():
+        routing.mark_overlong(state, now, service)
+        borrowing.mark_long_credits(state, now, service)
+    if views.is_member(state.view):
+        effects += slots.due_probes(state.slots, now, state.cfg["health_poll_s"])
+    return effects + _run_all(state, now) + _depart(state, now)
+
+
+def _run_all(state, now):
+    effects = []
+    for service in state.services.values():
+        effects += _run_service(state, now, service)
+    return effects
+
+
+def _heartbeats(state, now):
+    state.heartbeat_at = now + state.cfg["heartbeat_s"]
+    state.seq += 1
+    message = Heartbeat(
+        state.view.epoch,
+        state.seq,
+        now,
+        state.config_version,
+        {name: _queued(service) for name, service in state.services.items()},
+        {name: borrowing.free_now(state, now, name) for name in state.services},
+        list(state.credits_in_use),
+    )
+    return _send_to_members(state, message)
+
+
+def _queued(service):
+    return sum(queue.count for queue in service.queues.values())
+
+
+def next_wakeup(state):
+    """Return when ``tick`` has to run next, in monotonic seconds."""
+    return min(state.heartbeat_at, state.read_at)
+
+
+# Shutdown
+
+
+def leave(state, now):
+    """Start a graceful shutdown: nothing new is admitted."""
+    state.draining = True
+    return _depart(state, now)
+
+
+def is_drained(state):
+    """Return whether all requests ended and authority was given up."""
+    return state.announced
+
+
+def _depart(state, now):
+    if not state.draining or state.work or state.announced:
+        return []
+    state.announced = True
+    views.departure(state.view)
+    effects = _send_to_members(state, Leaving(state.view.epoch))
+    return effects + _reconcile(state, now)
--- /dev/null
+++ b/cornelward/router_dump.py
@@ -0,0 +1,43 @@
+"""State dump of the request core."""
+
+from . import borrowing
+
+__all__ = ["dump"]
+
+
+def dump(state, now):
+    """Return the state for people, JSON-ready."""
+    view = state.view
+    return {
+        "id": state.identity.id,
+        "config_version": state.config_version,
+        "view": {
+            "epoch": view.epoch,
+            "members": sorted(view.members),
+            "authority_s": max(0.0, view.authority_until - now),
+        },
+        "services": {
+            name: {
+                "live_executors": service.live,
+                "queued": {cls: q.count for cls, q in service.queues.items()},
+                "running": {cls: q.running for cls, q in service.queues.items()},
+                "free_slots": borrowing.free_now(state, now, name),
+            }
+            for name, service in state.services.items()
+        },
+        "executors": {
+            executor.id: {
+                "owned": executor.owned,
+                "ready": executor.ready,
+                "state": executor.listed,
+                "signal": executor.signal,
+                "running": len(executor.runs),
+                "credits": len(executor.credits),
+                "orphans": executor.orphans,
+            }
+            for executor in state.slots.executors.values()
+        },
+        "credits_in_use": len(state.credits_in_use),
+        "refusals": dict(state.counts),
+        "draining": state.draining,
+    }
--- /dev/null
+++ b/cornelward/slots.py
@@ -0,0 +1,323 @@
+"""Slot table: owned executors, credits granted to other entries, orphaned slots.
+
+A slot of an owned executor is used by a request of this entry, by a credit of another
+entry, or by an orphan: something that may still run there although nobody reports it.
+"""
+
+from typing import NamedTuple
+
+from .classes import LONG, SHORT
+from .messages import Credit
+
+__all__ = [
+    "LEASE_MARGIN_S",
+    "Executor",
+    "Probe",
+    "SlotTable",
+    "add_executor",
+    "add_orphans",
+    "apply_health",
+    "best_executor",
+    "claim",
+    "due_probes",
+    "end_run",
+    "expire_orphans",
+    "free_slots",
+    "grant",
+    "mark_long",
+    "remove_executor",
+    "return_credit",
+    "start_run",
+    "update_index",
+]
+
+# Added wherever somebody waits for the end of another process's lease.
+LEASE_MARGIN_S = 0.5
+# Interval of /health while an executor cannot be used in full.
+HEALTH_RETRY_S = 0.25
+
+
+class Probe(NamedTuple):
+    """Effect: ask the executor's ``/health``."""
+
+    executor: str
+    address: str
+
+
+class Executor:
+    """State of one executor; ``claim_at`` is when an owner may ask its health."""
+
+    __slots__ = (
+        "address",
+        "claim_at",
+        "credits",
+        "id",
+        "levels",
+        "listed",
+        "long",
+        "orphans",
+        "orphans_until",
+        "owned",
+        "probe_at",
+        "ready",
+        "reserved",
+        "runs",
+        "service",
+        "signal",
+        "slots",
+    )
+
+    def __init__(self, executor_id, service, address, slots):
+        self.id = executor_id
+        self.service = service
+        self.address = address
+        self.slots = slots
+        self.listed = "live"
+        self.signal = "live"
+        self.owned = False
+        self.ready = False
+        self.claim_at = None
+        self.probe_at = 0.0
+        self.orphans = 0
+        self.orphans_until = 0.0
+        self.reserved = 0
+        # Request id to start time; credit id to CreditState.
+        self.runs = {}
+        self.credits = {}
+        self.long = set()
+        self.levels = {SHORT: 0, LONG: 0}
+
+
+class CreditState:
+    """A credit given to another entry; ``in_use_at`` is when it was reported in use."""
+
+    __slots__ = ("borrower", "executor", "in_use_at", "usable_until")
+
+    def __init__(self, borrower, executor, usable_until):
+        self.borrower = borrower
+        self.executor = executor
+        self.usable_until = usable_until
+        self.in_use_at = None
+
+
+class SlotTable:
+    """All executors of a failure domain and an index of free slots.
+
+    ``index`` maps (service, class) to a list of dicts: position n holds the
+    executors with n free slots. ``examined`` counts executors looked at by decisions.
+    """
+
+    def __init__(self, first_credit):
+        self.executors = {}
+        self.owned = {}
+        self.index = {}
+        self.free = {}
+        self.credits = {}
+        self.next_credit = first_credit
+        self.examined = 0
+
+
+def free_slots(executor, cls):
+    """Return how many requests of a class may start now."""
+    usable = (
+        executor.owned
+        and executor.ready
+        and executor.listed == "live"
+        and executor.signal == "live"
+    )
+    if not usable:
+        return 0
+    used = len(executor.runs) + len(executor.credits) + executor.orphans
+    free = executor.slots - used
+    if cls == LONG:
+        limit = executor.slots - min(executor.reserved, executor.slots - 1)
+        free = min(free, limit - len(executor.long) - executor.orphans)
+    return max(free, 0)
+
+
+def update_index(table, executor):
+    """Move an executor to its place among the free slots."""
+    for cls in (SHORT, LONG):
+        old, new = executor.levels[cls], free_slots(executor, cls)
+        if old == new:
+            continue
+        key = executor.service, cls
+        levels = table.index.setdefault(key, [])
+        while len(levels) <= new:
+            levels.append({})
+        if old:
+            levels[old].pop(executor.id, None)
+        if new:
+            levels[new][executor.id] = executor
+        executor.levels[cls] = new
+        table.free[key] = table.free.get(key, 0) + new - old
+
+
+def best_executor(table, service, cls):
+    """Return an executor with the most free slots, or None.
+
+    The cost depends on the slots of one executor, not on the number of executors.
+    """
+    if not table.free.get((service, cls)):
+        return None
+    levels = table.index[service, cls]
+    for level in reversed(levels):
+        if level:
+            table.examined += 1
+            return next(iter(level.values()))
+    return None
+
+
+def add_executor(table, executor_id, service, address, slots, reserved):
+    """Add or update an executor from the membership list; returns it."""
+    executor = table.executors.get(executor_id)
+    if executor is None or executor.address != address or executor.service != service:
+        remove_executor(table, executor_id)
+        executor = Executor(executor_id, service, address, slots)
+        table.executors[executor_id] = executor
+    executor.slots = slots
+    executor.reserved = reserved
+    return executor
+
+
+def remove_executor(table, executor_id):
+    """Forget an executor that left the membership list."""
+    executor = table.executors.pop(executor_id, None)
+    if executor is None:
+        return
+    executor.owned = False
+    table.owned.pop(executor_id, None)
+    update_index(table, executor)
+    for credit_id in executor.credits:
+        table.credits.pop(credit_id, None)
+
+
+def claim(table, executor, owned, claim_at):
+    """Set the ownership of an executor.
+
+    A new owner treats all slots as used until a ``/health`` answer to a question
+    asked at ``claim_at`` or later; ``claim_at`` None means that it is not known yet.
+    """
+    executor.owned = owned
+    executor.ready = False
+    executor.claim_at = claim_at
+    executor.probe_at = 0.0
+    if owned:
+        table.owned[executor.id] = executor
+    else:
+        table.owned.pop(executor.id, None)
+        # Whoever is the owner now counts these slots by /health.
+        executor.orphans = 0
+        for credit_id in list(executor.credits):
+            return_credit(table, credit_id)
+    update_index(table, executor)
+
+
+def start_run(table, executor, request_id, cls, now):
+    """Take a slot for a request of this entry."""
+    executor.runs[request_id] = now
+    if cls == LONG:
+        executor.long.add(request_id)
+    update_index(table, executor)
+
+
+def end_run(table, executor, request_id, orphaned_until=None):
+    """Free a request's slot, or keep it as an orphan until a time at the latest."""
+    if executor.runs.pop(request_id, None) is None:
+        return
+    executor.long.discard(request_id)
+    if orphaned_until is not None:
+        add_orphans(executor, 1, orphaned_until)
+    update_index(table, executor)
+
+
+def mark_long(table, executor, use_id):
+    """Count a running request or credit as long."""
+    if use_id in executor.runs or use_id in executor.credits:
+        executor.long.add(use_id)
+        update_index(table, executor)
+
+
+def add_orphans(executor, count, until):
+    """Add slots that something unknown may still use."""
+    executor.orphans += count
+    executor.orphans_until = max(executor.orphans_until, until)
+
+
+def expire_orphans(table, executor, now):
+    """Free orphaned slots whose longest run time has passed."""
+    if executor.orphans and executor.ready and now >= executor.orphans_until:
+        executor.orphans = 0
+        update_index(table, executor)
+
+
+def grant(table, service, cls, count, borrower, usable_until):
+    """Return up to ``count`` credits for free slots."""
+    credits = []
+    while len(credits) < count:
+        executor = best_executor(table, service, cls)
+        if executor is None:
+            break
+        credit_id = table.next_credit
+        table.next_credit += 1
+        state = CreditState(borrower, executor, usable_until)
+        executor.credits[credit_id] = table.credits[credit_id] = state
+        if cls == LONG:
+            executor.long.add(credit_id)
+        update_index(table, executor)
+        credits.append(Credit(credit_id, executor.id, executor.address))
+    return credits
+
+
+def return_credit(table, credit_id, orphaned_until=None):
+    """Free a credit's slot, or keep it as an orphan until a time at the latest."""
+    state = table.credits.pop(credit_id, None)
+    if state is None:
+        return None
+    executor = state.executor
+    executor.credits.pop(credit_id, None)
+    executor.long.discard(credit_id)
+    if orphaned_until is not None:
+        add_orphans(executor, 1, orphaned_until)
+    update_index(table, executor)
+    return executor
+
+
+def apply_health(table, executor, sent_at, report, orphaned_until):
+    """Take in the answer of ``/health`` (None when there was none).
+
+    Orphans are what the executor runs beyond the uses known to have reached it
+    before the question: a use started within LEASE_MARGIN_S may still be on its way.
+    """
+    if report is None:
+        executor.signal = "down"
+        update_index(table, executor)
+        return
+    executor.signal = report["state"]
+    before = sent_at - LEASE_MARGIN_S
+    known = sum(1 for started in executor.runs.values() if started < before)
+    known += sum(
+        1
+        for credit in executor.credits.values()
+        if credit.in_use_at is not None and credit.in_use_at < before
+    )
+    unknown = max(0, report["in_flight"] - known)
+    if executor.ready:
+        executor.orphans = min(executor.orphans, unknown)
+    elif executor.claim_at is not None and sent_at >= executor.claim_at:
+        executor.ready = executor.owned
+        executor.orphans = unknown
+        executor.orphans_until = orphaned_until
+    update_index(table, executor)
+
+
+def due_probes(table, now, poll_s):
+    """Return Probe effects for owned executors whose health is due."""
+    probes = []
+    for executor in table.owned.values():
+        if executor.claim_at is None or now < max(executor.probe_at, executor.claim_at):
+            continue
+        settled = executor.ready and executor.signal == "live" and not executor.orphans
+        executor.probe_at = now + (poll_s if settled else min(HEALTH_RETRY_S, poll_s))
+        probes.append(Probe(executor.id, executor.address))
+    return probes
