--- /dev/null
+++ b/tests/test_loop.py
@@ -0,0 +1,43 @@
+"""Guards the timers: order, cancellation, repetition after a failure."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from cornelward.loop import Loop
+
+LIMIT_S = 30
+
+
+@pytest.fixture
+def loop():
+    return Loop()
+
+
+def test_timers_run_in_order_of_their_time(loop):
+    ran = []
+    loop.call_later(0.02, lambda: ran.append("late"))
+    loop.call_later(0.01, lambda: ran.append("early"))
+    assert loop.run_until(lambda: len(ran) == 2, LIMIT_S)
+    assert_that(ran, Equals(["early", "late"]))
+
+
+def test_cancelled_timer_does_not_run(loop):
+    ran = []
+    timer = loop.call_later(0.01, lambda: ran.append("cancelled"))
+    loop.cancel(timer)
+    loop.cancel(timer)
+    loop.call_later(0.02, lambda: ran.append("kept"))
+    assert loop.run_until(lambda: ran, LIMIT_S)
+    assert_that(ran, Equals(["kept"]))
+
+
+def test_repeated_call_goes_on_after_an_exception(loop, capsys):
+    ran = []
+
+    def fail():
+        ran.append(1)
+        raise ValueError("first run fails")
+
+    loop.call_every(0.01, fail)
+    assert_that(loop.run_until(lambda: len(ran) >= 3, LIMIT_S), Equals(True))
