Complete the thin path of an entry with the real router

Cause: job submission failed because xxhash 4 hashes bytes only. Change: the text is encoded; the composition root takes the router by default.

--- a/cornelward/compose.py
+++ b/cornelward/compose.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from . import entry as entry_shell
+from . import router
 from .api import make_handle
 from .errors import START_FAILED, CornelwardError
 from .http_client import HttpClient
@@ -44,7 +45,7 @@
 def build_common(cfg, handle, on_message, loop=None):
     """Return the Common parts.
 
-    ``handle(call)`` serves HTTP, ``on_message(envelope)`` takes peers' messages; neither
+    ``handle(call)`` serves HTTP, ``on_message(envelope)`` takes messages; neither
     is called before the loop runs. Raises CornelwardError if an address is in use.
     """
     loop = loop or Loop()
@@ -89,10 +90,8 @@
     return CornelwardError(f"{key} {cfg[key]}: {reason}", START_FAILED)
 
 
-def build_entry(cfg, loop=None, core=None):
+def build_entry(cfg, loop=None, core=router):
     """Return an entry that is bound and starts with its loop."""
-    if core is None:
-        from . import router as core
     holder = []
     common = build_common(
         cfg,
--- a/cornelward/job_requests.py
+++ b/cornelward/job_requests.py
@@ -39,7 +39,7 @@
 
 def choose_domain(name, domains):
     """Return the failure domain of a job by rendezvous hashing."""
-    return max(domains, key=lambda fd: xxhash.xxh64_intdigest(f"{fd}/{name}"))
+    return max(domains, key=lambda fd: xxhash.xxh64_intdigest(f"{fd}/{name}".encode()))
 
 
 def _check_body(body):
