Give each attempt an id of its own and check verdicts over seeded schedules

Change: attempts after the first carry a number in X-Request-Id, probes carry an id; a virtual-time simulation runs entries and stand-ins over a seeded faulty network. Ruled out: trusting the order on a connection, as a late answer may arrive after the next request was sent.

--- a/cornelward/forwarding.py
+++ b/cornelward/forwarding.py
@@ -95,13 +95,14 @@
             # A retry within the same turn would try the same list again at once.
             entry.loop.call_soon(lambda: on_done(answer))
             return
+        attempt_id = pending.next_attempt_id()
         entry.client.request(
             entry.rng.choice(addresses),
             "POST",
             f"/v1/services/{pending.service}/{pending.operation}",
-            lambda result: on_done(read_forwarded(result, pending.outer_id)),
+            lambda result: on_done(read_forwarded(result, attempt_id)),
             headers=(
-                ("X-Request-Id", pending.outer_id),
+                ("X-Request-Id", attempt_id),
                 ("X-Timeout-Ms", str(max(1, int(left_s * 1000)))),
                 (FORWARDED, entry.identity.failure_domain),
                 *pending.headers,
--- a/cornelward/request_flow.py
+++ b/cornelward/request_flow.py
@@ -20,12 +20,21 @@
 from .upstream_client import Answer
 from .verdicts import Verdict
 
-__all__ = ["FORWARDED", "accept", "carry_out", "keyed_tick", "read_timeout"]
+__all__ = [
+    "ATTEMPT_MARK",
+    "FORWARDED",
+    "accept",
+    "carry_out",
+    "keyed_tick",
+    "read_timeout",
+]
 
 # Marks a request that another failure domain's entry sent; it is not sent on, and the
 # sender holds its key.
 FORWARDED = "x-forwarded-domain"
 KEY = re.compile(r"[A-Za-z0-9_.:~-]{1,200}")
+# Separates a request's id from the number of an attempt after the first.
+ATTEMPT_MARK = "~"
 # Headers of the caller that an upstream gets.
 PASSED_HEADERS = ("content-type", "accept", "idempotency-key", "traceparent")
 
@@ -35,6 +44,7 @@
 
     __slots__ = (
         "arrived",
+        "attempts",
         "call",
         "deadline",
         "dispatched",
@@ -56,12 +66,23 @@
         self.arrived = arrived
         self.deadline = deadline
         self.outer_id = ""
+        self.attempts = 0
         self.headers = ()
         self.key = None
         self.submitted = False
         self.dispatched = False
         self.may_have_run = False
 
+    def next_attempt_id(self):
+        """Return the id that an upstream gets with the next attempt.
+
+        Attempts differ, so that a late answer to one is not taken for another's.
+        """
+        self.attempts += 1
+        if self.attempts == 1:
+            return self.outer_id
+        return f"{self.outer_id}{ATTEMPT_MARK}{self.attempts}"
+
 
 def read_timeout(headers, default_ms, max_ms):
     """Return the timeout in seconds that a caller asks for."""
@@ -138,7 +159,7 @@
     entry.upstream.run(
         effect.address,
         pending.operation,
-        pending.outer_id,
+        pending.next_attempt_id(),
         pending.headers,
         pending.call.request.body,
         max(0.001, pending.deadline - now),
@@ -184,7 +205,11 @@
 def _settle(entry, now, request_id, pending, answer):
     """Answer the caller after the last attempt."""
     if answer.status is not None:
-        headers = (*answer.headers, ("X-Verdict", "RAN"))
+        headers = (
+            *answer.headers,
+            ("X-Request-Id", pending.outer_id),
+            ("X-Verdict", "RAN"),
+        )
         parts = (answer.status, answer.body, answer.content_type, headers)
         _finish(entry, now, request_id, pending, Verdict.RAN, parts)
     elif pending.may_have_run:
--- a/cornelward/upstream_client.py
+++ b/cornelward/upstream_client.py
@@ -4,6 +4,7 @@
 connection, and what the executor itself said.
 """
 
+import itertools
 from typing import NamedTuple
 
 from .errors import DEADLINE_EXCEEDED, UPSTREAM_FAILED
@@ -25,6 +26,7 @@
         "trailer",
         "upgrade",
         "x-not-run",
+        "x-request-id",
         "x-state",
         "x-verdict",
     }
@@ -107,11 +109,24 @@
             timeout_s=timeout_s,
         )
 
+    numbers = itertools.count(1)
+
     def health(address, on_done):
+        # Without an id of its own, a late answer could be taken for a request's.
+        probe_id = f"health-{next(numbers)}"
+
         def finish(result):
-            report = result.json() if result.status == 200 else None
+            answer = read_answer(result, probe_id)
+            report = result.json() if answer.status == 200 else None
             on_done(report if isinstance(report, dict) else None)
 
-        client.request(address, "GET", "/health", finish, timeout_s=HEALTH_TIMEOUT_S)
+        client.request(
+            address,
+            "GET",
+            "/health",
+            finish,
+            headers=(("X-Request-Id", probe_id),),
+            timeout_s=HEALTH_TIMEOUT_S,
+        )
 
     return Upstream(run, health)
--- /dev/null
+++ b/tests/test_upstream_client.py
@@ -0,0 +1,128 @@
+"""Guards against wrong verdicts and against answers given to the wrong request."""
+
+import random
+
+import pytest
+from fixtures_simulation import Simulation
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+from cornelward import router
+from cornelward.http_client import HttpResult
+from cornelward.upstream_client import read_answer
+from cornelward.verdicts import Verdict
+
+SCHEDULES = 3_000
+ROUTER_SCHEDULES = 150
+
+
+def result(status, headers=(), error=None, sent=True):
+    return HttpResult(status, dict(headers), b"body", error, sent)
+
+
+@pytest.mark.parametrize(
+    ("given", "verdict", "leaving"),
+    [
+        (result(None, error="connect_failed", sent=False), Verdict.NOT_RUN, True),
+        (result(None, error="timeout", sent=False), Verdict.NOT_RUN, False),
+        (result(None, error="closed", sent=False), Verdict.NOT_RUN, True),
+        (result(None, error="closed"), Verdict.MAY_HAVE_RUN, True),
+        (result(None, error="timeout"), Verdict.MAY_HAVE_RUN, False),
+        (result(None, error="bad_answer"), Verdict.MAY_HAVE_RUN, False),
+        (result(503, {"x-not-run": "1"}), Verdict.NOT_RUN, False),
+        (result(503), Verdict.RAN, False),
+        (result(200, {"x-not-run": "1"}), Verdict.RAN, False),
+        (result(200, {"x-state": "leaving"}), Verdict.RAN, True),
+        (result(200, {"x-request-id": "other"}), Verdict.MAY_HAVE_RUN, False),
+        (
+            result(503, {"x-not-run": "1", "x-request-id": "other"}),
+            Verdict.MAY_HAVE_RUN,
+            False,
+        ),
+    ],
+)
+def test_verdict_rests_on_what_was_sent_and_said(given, verdict, leaving):
+    answer = read_answer(given, "mine")
+    assert_that((answer.verdict, answer.leaving), Equals((verdict, leaving)))
+
+
+def set_faults(sim, rng):
+    """Change the behaviour of network and executors at random."""
+    for name in sim.executors:
+        sim.network.faults[name] = {
+            "refused": rng.choice((0.0, 0.2)),
+            "cut": rng.choice((0.0, 0.2)),
+            "lost": rng.choice((0.0, 0.2)),
+            "mixed": rng.choice((0.0, 0.2)),
+        }
+        switches = {
+            "slow_ms": rng.choice((0, 0, 50, 1_500)),
+            "refuse": rng.random() < 0.1,
+            "leaving": rng.random() < 0.1,
+            "dead": rng.random() < 0.05,
+        }
+        sim.control(name, "/switch", switches)
+
+
+def run_schedule(seed, core=None, requests=14):
+    rng = random.Random(seed)
+    sim = Simulation(seed, entries=1 if core is None else 2, core=core)
+    asked = {}
+    for number in range(requests):
+        if number % 4 == 0:
+            set_faults(sim, rng)
+        operation = rng.choice(("price", "note"))
+        request_id = f"{seed}-{number}"
+        asked[request_id] = operation
+        timeout_ms = rng.choice((100, 1_000, 3_000))
+        call = sim.ask(rng.choice(sim.entries), request_id, operation, None, timeout_ms)
+        sim.clock.advance(rng.choice((0.0, 0.01, 0.2)))
+        if rng.random() < 0.05 and not call.answered:
+            call.closed = True
+            if call.on_closed:
+                call.on_closed()
+            asked.pop(request_id)
+    sim.clock.advance(10.0)
+    return sim, asked
+
+
+def check_schedule(sim, asked):
+    """Check every answer against the executors' record; returns the verdicts."""
+    ran = sim.records()
+    verdicts = []
+    for request_id, operation in asked.items():
+        answers = sim.answers[request_id]
+        assert_that(answers, HasLength(1), request_id)
+        status, body, verdict = answers[0]
+        count = ran.get(request_id, 0)
+        if verdict == "NOT_RUN":
+            assert_that(count, Equals(0), request_id)
+        if verdict == "RAN":
+            assert_that((status, body), Equals((200, request_id.encode())))
+            assert count >= 1, request_id
+        if operation == "note":
+            assert count <= 1, request_id
+        verdicts.append(verdict)
+    for entry in sim.entries:
+        assert_that(entry.calls, HasLength(0))
+    return verdicts
+
+
+@pytest.mark.proof
+def test_verdicts_agree_with_the_record_of_what_ran():
+    """Guarantees 3 and 4, and no retry of what may have run unless idempotent."""
+    seen = []
+    for seed in range(SCHEDULES):
+        seen += check_schedule(*run_schedule(seed))
+    for verdict in Verdict:
+        assert seen.count(verdict) > SCHEDULES, verdict
+
+
+@pytest.mark.proof
+def test_verdicts_agree_with_the_record_through_the_real_router():
+    """The same with two entries that borrow, lend and learn of leaving executors."""
+    seen = []
+    for seed in range(ROUTER_SCHEDULES):
+        seen += check_schedule(*run_schedule(seed, router, requests=40))
+    for verdict in Verdict:
+        assert seen.count(verdict) > ROUTER_SCHEDULES, verdict
