--- /dev/null
+++ b/cornelward/cli_input.py
@@ -0,0 +1,66 @@
+"""Input of the operators' command: options and files of objects."""
+
+import os
+
+import msgspec
+
+from .errors import CornelwardError
+from .readers import read_json, read_objects
+
+__all__ = [
+    "UsageError",
+    "parse_json_object",
+    "parse_seconds",
+    "parse_whole",
+    "read_paths",
+]
+
+MAX_SECONDS = 86_400
+
+
+class UsageError(CornelwardError):
+    """The command line is wrong."""
+
+
+def read_paths(paths):
+    """Return the objects in all paths, and the version that ``get --json`` wrote."""
+    objects, version = [], None
+    for path in paths:
+        if os.path.isdir(path):
+            objects.extend(read_objects(path))
+            continue
+        value = read_json(path)
+        if isinstance(value, dict) and "kind" not in value and "objects" in value:
+            version, value = value.get("version"), value["objects"]
+        objects.extend(value if isinstance(value, list) else [value])
+    return objects, version
+
+
+def parse_seconds(text):
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 < value <= MAX_SECONDS:
+        raise UsageError(f"{text!r}: expected seconds above 0")
+    return value
+
+
+def parse_whole(text, name):
+    try:
+        value = int(text)
+    except ValueError:
+        value = -1
+    if value < 0:
+        raise UsageError(f"{name} {text!r}: expected a whole number")
+    return value
+
+
+def parse_json_object(text, name):
+    try:
+        value = msgspec.json.decode(text)
+    except msgspec.DecodeError:
+        value = None
+    if not isinstance(value, dict):
+        raise UsageError(f"{name}: expected a JSON object")
+    return value
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,176 @@
+"""Guards against a command whose exit code or message misleads an operator."""
+
+import json
+import threading
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, Not
+
+from cornelward import cli
+from cornelward.cli import ENTRY_VARIABLE, main
+from tests.fixtures_operator import fake_entry
+
+__all__ = ["fake_entry"]
+
+OBJECTS = "examples/shahidi"
+COMMANDS = ("check", "apply", "get", "submit", "status", "cancel", "dump")
+
+
+@pytest.fixture
+def run(capfd, monkeypatch, fake_entry):
+    """Return ``run(*argv)`` giving (exit code, standard output, standard error)."""
+    monkeypatch.setenv(ENTRY_VARIABLE, fake_entry.address)
+
+    def run(*argv):
+        code = main(argv)
+        out, err = capfd.readouterr()
+        return code, out, err
+
+    return run
+
+
+@pytest.mark.parametrize("command", COMMANDS)
+def test_help_of_each_command_lists_the_exit_codes(run, command):
+    code, out, _ = run(command, "--help")
+    assert_that(code, Equals(0))
+    assert_that(out, Contains("Exit codes: 0 done"))
+
+
+def test_check_reports_every_problem_and_fails(run, tmp_path):
+    assert_that(run("check", OBJECTS), Equals((0, "13 objects, 0 problems\n", "")))
+    file = tmp_path / "bad.json"
+    file.write_text('[{"kind": "pool", "name": "p", "holds": "x"} /* note */]')
+    code, out, _ = run("check", str(file))
+    assert_that(code, Equals(cli.EXIT_REFUSED))
+    assert_that(out, Contains("pool/p: field 'holds'"))
+    code, out, _ = run("check", "--json", str(file))
+    assert_that(len(json.loads(out)["problems"]), Equals(2))
+
+
+@pytest.mark.parametrize(
+    "argv",
+    [
+        ("check",),
+        ("check", "no-such-file"),
+        ("nothing",),
+        ("get", "--nothing"),
+        ("get", "tent"),
+        ("get", "--entry", "localhost"),
+        ("get", "--timeout", "soon"),
+        ("apply", OBJECTS, "--parent", "one"),
+        ("submit", "w", "--run", "{"),
+        ("submit", "w", "--tasks", "-1"),
+    ],
+)
+def test_wrong_usage_gives_one_line_and_code_2(run, argv):
+    code, out, err = run(*argv)
+    assert_that((code, out), Equals((cli.EXIT_USAGE, "")))
+    assert_that(err, Contains("cornelward: "))
+    assert_that(err.count("\n"), Equals(1))
+
+
+def test_entry_address_is_required(run, monkeypatch):
+    monkeypatch.delenv(ENTRY_VARIABLE)
+    code, _, err = run("get")
+    assert_that(code, Equals(cli.EXIT_USAGE))
+    assert_that(err, Contains(ENTRY_VARIABLE))
+
+
+def test_apply_publishes_and_get_shows(run, fake_entry):
+    assert_that(run("apply", OBJECTS)[0], Equals(0))
+    assert_that(fake_entry.document["version"], Equals(1))
+    _, out, _ = run("get")
+    assert_that(out, Contains("version 1"))
+    assert all(len(line) <= 100 for line in out.splitlines())
+    assert_that(json.loads(run("get", "team", "finance")[1])["kind"], Equals("team"))
+    assert_that(run("get", "team", "none")[0], Equals(cli.EXIT_NOT_FOUND))
+
+
+def test_apply_refuses_a_broken_set_before_any_call(run, fake_entry, tmp_path):
+    file = tmp_path / "bad.json"
+    file.write_text('[{"kind": "pool", "name": "p", "region": "r", "holds": "x"}]')
+    code, _, err = run("apply", str(file))
+    assert_that((code, fake_entry.calls), Equals((cli.EXIT_REFUSED, [])))
+    assert_that(err.count("pool/p: field"), Equals(2))
+
+
+@pytest.mark.proof
+def test_edited_copy_of_an_old_version_conflicts(run, fake_entry, tmp_path):
+    run("apply", OBJECTS)
+    file = tmp_path / "mine.json"
+    file.write_text(run("get", "--json")[1])
+    run("apply", "examples/laurentides")
+    code, _, err = run("apply", str(file))
+    assert_that(code, Equals(cli.EXIT_CONFLICT))
+    assert_that(err, Contains("version 2"))
+    assert_that(fake_entry.document["version"], Equals(2))
+
+
+@pytest.mark.proof
+def test_of_racing_operators_exactly_one_wins(run, fake_entry):
+    codes = []
+    argv = ("apply", OBJECTS, "--parent", "0", "--entry", fake_entry.address)
+    threads = [
+        threading.Thread(target=lambda: codes.append(main(argv))) for _ in range(4)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert_that(sorted(codes), Equals([0] + [cli.EXIT_CONFLICT] * 3))
+    assert_that(fake_entry.document["version"], Equals(1))
+
+
+def test_submit_with_a_key_is_one_job(run, fake_entry):
+    for _ in range(2):
+        code, out, _ = run("submit", "nightly", "--key", "k1", "--tasks", "2")
+        assert_that((code, out), Equals((0, "job j-k1 queued, workload nightly\n")))
+    assert_that(len(fake_entry.jobs), Equals(1))
+    assert_that(run("submit", "huge")[0], Equals(cli.EXIT_REFUSED))
+    wait = run("submit", "nightly", "--key", "k1", "--wait", "0.01")
+    assert_that(wait[0], Equals(cli.EXIT_REFUSED))
+    assert_that(run("status", "j-k1")[1], Contains("WORKER"))
+    assert_that(run("cancel", "j-k1")[0], Equals(0))
+    record = json.loads(run("status", "j-k1", "--json")[1])
+    assert_that(record["state"], Equals("cancelled"))
+    assert_that(run("status", "j-none")[0], Equals(cli.EXIT_NOT_FOUND))
+    assert_that(run("status", "../config")[0], Equals(cli.EXIT_REFUSED))
+
+
+def test_status_and_dump(run):
+    code, out, _ = run("status")
+    assert_that((code, out), Equals((0, out)))
+    assert_that(out, Contains("queued.pickup  3"))
+    assert_that(json.loads(run("dump")[1])["id"], Equals("e1"))
+
+
+def test_unreachable_entry_and_unknown_outcome(run, fake_entry):
+    code, _, err = run("get", "--entry", "127.0.0.1:1")
+    assert_that((code, err.count("\n")), Equals((cli.EXIT_UNAVAILABLE, 1)))
+    assert_that(err, Contains("[NOT_RUN]"))
+    fake_entry.broken = (503, {"error": {"code": "platform_unavailable"}})
+    assert_that(run("get")[0], Equals(cli.EXIT_UNAVAILABLE))
+    fake_entry.broken = (500, b"<html>")
+    assert_that(run("get")[0], Equals(cli.EXIT_REFUSED))
+    fake_entry.broken = (200, b"[")
+    code, _, err = run("submit", "w")
+    assert_that(code, Equals(cli.EXIT_REFUSED))
+    assert_that(err, Contains("[MAY_HAVE_RUN]"))
+
+
+def test_lost_answer_says_that_the_call_may_have_run(run, fake_entry):
+    fake_entry.answer = lambda method, path, body: 1 / 0
+    code, _, err = run("submit", "nightly", "--key", "k9")
+    assert_that(code, Equals(cli.EXIT_UNAVAILABLE))
+    assert_that(err, Contains("[MAY_HAVE_RUN]"))
+    assert_that(err, Contains("job key k9"))
+
+
+def test_output_has_no_colour_and_no_control_characters_off_a_terminal(run, fake_entry):
+    run("submit", "nightly", "--key", "k1")
+    fake_entry.jobs["j-k1"]["reason"] = "\x1b[31mred\nline"
+    _, out, _ = run("status", "j-k1")
+    assert_that(out, Not(Contains("\x1b")))
+    assert_that(out, Contains("\\x1b[31mred\\nline"))
+    assert_that(run("status", "j-k1", "--ansi")[1], Contains("\x1b["))
