--- a/cornelward/cli.py
+++ b/cornelward/cli.py
@@ -234,15 +234,15 @@
             raise
         if wait_s is not None:
             record = _wait_for_end(operator, record["id"], wait_s)
-        self.show_job(record)
-        failed = wait_s is not None and record["state"] != "succeeded"
-        return EXIT_REFUSED if failed or record["state"] == "refused" else EXIT_OK
-
-    def show_job(self, record):
         if self.option("json"):
             self.show_json(record)
+        elif wait_s is None:
+            word = "accepted" if record["created"] else "was accepted before"
+            self.show(f"job {record['id']} {word}")
         else:
             self.show(_job_line(record))
+        ended_well = wait_s is None or record["state"] == "succeeded"
+        return EXIT_OK if ended_well else EXIT_REFUSED
 
 
 class StatusCommand(_BaseCommand):
--- a/cornelward/object_schema.py
+++ b/cornelward/object_schema.py
@@ -164,8 +164,8 @@
     "deadline_ms": Field(_whole(1, MAX_RUN_MS), 30_000),
     "queue_limit": Field(_whole(1, 100_000), 1_000),
     "retry_budget": Field(_number(0, 1), 0.1),
-    "reserved_short_slots": Field(_whole(0, 10_000), 1),
-    "long_threshold_ms": Field(_whole(1, MAX_RUN_MS), 1_000),
+    "reserved_short_slots": Field(_whole(0, 10_000), 2),
+    "long_threshold_ms": Field(_whole(1, MAX_RUN_MS), 500),
     "max_run_ms": Field(_whole(1, MAX_RUN_MS), 60_000),
     "spill": Field(_one_of("none", "region", "all"), "none"),
     "spill_wait_ms": Field(_whole(0, MAX_RUN_MS), 100),
@@ -173,7 +173,7 @@
 
 _TASK_POLICY = {
     "type": _TYPE,
-    "priority": Field(_whole(0, 1_000), 100),
+    "priority": Field(_whole(0, 1_000), 0),
     "urgent": Field(_boolean, False),
     "preemptible": Field(_boolean, False),
     "max_attempts": Field(_whole(1, 1_000), 3),
@@ -183,6 +183,9 @@
 
 _SERVICE_POLICY = {**_TASK_POLICY, "spread": Field(_boolean, True)}
 
+# An urgent batch policy is not preemptible by default: see ``with_defaults``.
+_BATCH_POLICY = {**_TASK_POLICY, "preemptible": Field(_boolean, True)}
+
 _WORKLOAD_REFS = {
     "type": _TYPE,
     "policy": Field(check_name, required=True, ref="policy"),
@@ -209,7 +212,7 @@
     "policy": {
         REQUEST: _REQUEST_POLICY,
         "service": _SERVICE_POLICY,
-        "batch": _TASK_POLICY,
+        "batch": _BATCH_POLICY,
         "gang": _TASK_POLICY,
     },
     "workload": {
--- a/cornelward/objects.py
+++ b/cornelward/objects.py
@@ -64,6 +64,8 @@
 def with_defaults(obj):
     """Return a copy of a valid object with the defaults of its fields."""
     filled = dict(obj)
+    if filled.get("urgent"):
+        filled.setdefault("preemptible", False)
     for name, field in fields_of(obj).items():
         if field.default is not UNSET:
             filled.setdefault(name, copy(field.default))
@@ -174,9 +176,9 @@
 def _policy_rules(obj, by_kind):
     if obj.get("urgent") is True and obj.get("preemptible") is True:
         yield "field 'preemptible': urgent work cannot be preemptible"
-    if obj.get("type") == "gang" and obj.get("preemptible") is True:
-        # Preempting one task would stop all tasks of the gang.
-        yield "field 'preemptible': a gang cannot be preempted"
+    if obj.get("type") in ("service", "gang") and obj.get("preemptible") is True:
+        # Preempting one task would stop a gang, and a service has no end to reach.
+        yield "field 'preemptible': only batch work can be preempted"
 
 
 def _workload_rules(obj, by_kind):
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -53,6 +53,7 @@
         ("policy/phone", {"priority": 3}, "unknown"),
         ("policy/phone", {"type": "stream"}, "one of request, service, batch, gang"),
         ("policy/rebuild", {"preemptible": True}, "urgent work"),
+        ("policy/always-on", {"preemptible": True}, "only batch work"),
         ("workload/pickup", {"policy": "overnight"}, "not 'request'"),
         ("workload/pickup", {"pool": "trucks"}, "needs 'executors'"),
         ("workload/manifests", {"pool": "quotes"}, "needs 'workers'"),
@@ -167,6 +168,9 @@
     )
     assert_that(index["policy"]["phone"]["spill_wait_ms"], Equals(100))
     assert_that(index["policy"]["always-on"]["spread"], Equals(True))
+    urgent = {"kind": "policy", "name": "u", "type": "batch", "urgent": True}
+    filled = index_objects([urgent])["policy"]["u"]
+    assert_that((filled["preemptible"], filled["max_attempts"]), Equals((False, 3)))
     assert_that(index["workload"]["manifests"]["demand"]["accelerators"], Equals(0))
     index["workload"]["manifests"]["run"]["x"] = 1
     assert_that(index_objects(GOOD)["workload"]["phone-bridge"]["run"], Equals({}))
