Add a first version of the task core for one scheduler

Ownership by the owner row with a fence row for each epoch, inbox and job rows, worker leases, best fit, a durable starting record before the start command, results acknowledged to workers after their record is durable, done records. The fence row (fences/<fd>, written only at takeover and checked by each write) was chosen over a check of owners/<fd>, whose version changes with each renewal.

--- /dev/null
+++ b/cornelward/job_writes.py
@@ -0,0 +1,131 @@
+"""Writes of job rows: one pending transaction a job, read back when in doubt.
+
+A write carries the version that it replaces, the fence of this epoch and a nonce. When
+its answer is lost, the row tells by its nonce whether it took effect; until then
+nothing acts on it.
+"""
+
+from typing import NamedTuple
+
+from .jobs import STARTING, settle_job, to_record
+from .ownership import has_authority
+from .platform_client import Conflict
+from .task_effects import ReadRow, Txn
+
+__all__ = [
+    "JobWrite",
+    "flush_jobs",
+    "job_key",
+    "mark_dirty",
+    "retry_reads",
+    "write_read",
+]
+
+# Keeps the queue of the table short: starts wait behind at most this many writes.
+MAX_WRITES = 48
+READ_RETRY_S = 0.5
+
+
+class JobWrite(NamedTuple):
+    """A pending write; ``starts`` are ``(task, attempt)`` that wait for it."""
+
+    txn: Txn
+    nonce: str
+    key: str
+    final: bool
+    starts: list
+    acks: list
+    inbox: list
+
+
+def job_key(state, job_id):
+    """Return the key of the row of an active job."""
+    return f"jobs/{state.fd}/{job_id}"
+
+
+def mark_dirty(state, job, first=False):
+    """Queue a write of the job's row; starts go first."""
+    job.dirty = True
+    if first:
+        state.dirty_first[job.id] = None
+    else:
+        state.dirty[job.id] = None
+
+
+def flush_jobs(state, now):
+    """Return transactions for jobs whose rows are behind."""
+    effects = []
+    if not has_authority(state.own, now):
+        return effects
+    for queue in (state.dirty_first, state.dirty):
+        for job_id in list(queue):
+            if len(state.writes) >= MAX_WRITES:
+                return effects
+            job = state.jobs.by_id.get(job_id)
+            if job is not None and job.write is not None:
+                continue
+            del queue[job_id]
+            if job is not None and job.dirty:
+                effects.append(_start_write(state, now, job))
+    return effects
+
+
+def _start_write(state, now, job):
+    final = settle_job(job)
+    txn_id = state.new_id()
+    nonce = f"{state.own.prefix}{txn_id}"
+    key = f"done/{state.fd}/{job.id}" if final else job_key(state, job.id)
+    checks = [
+        [job_key(state, job.id), job.version],
+        [state.own.fence_key, state.own.fence_version],
+    ]
+    deletes = [job_key(state, job.id), *job.inbox] if final else []
+    txn = Txn(txn_id, checks, [[key, to_record(job, nonce)]], deletes)
+    starts = [
+        (task, task.attempt)
+        for task in job.tasks
+        if task.state == STARTING and task.sent_until_ms is None
+    ]
+    job.write = JobWrite(txn, nonce, key, final, starts, job.acks, job.inbox)
+    job.acks = []
+    job.dirty = False
+    state.writes[txn_id] = job
+    return txn
+
+
+def write_done(state, now, job, result):
+    """Take the result of the pending write of a job; return ``(applied, effects)``."""
+    write = job.write
+    state.writes.pop(write.txn.txn_id, None)
+    if result is None or isinstance(result, Conflict):
+        state.reading[write.key] = (job, isinstance(result, Conflict))
+        return False, [ReadRow(write.key)]
+    job.version = result.get(write.key, 0)
+    return True, []
+
+
+def write_read(state, now, key, row):
+    """Take the row that was read back; return ``(job, applied, effects)``."""
+    job, conflict = state.reading[key]
+    write = job.write
+    if row is None:
+        state.read_retries[key] = now + READ_RETRY_S
+        return job, False, []
+    del state.reading[key]
+    if row.version and row.value.get("nonce") == write.nonce:
+        job.version = row.version
+        return job, True, []
+    if conflict:
+        # Somebody else wrote the row or the fence: what is in memory is not valid.
+        return job, None, []
+    state.writes[write.txn.txn_id] = job
+    # The same transaction again: at most one of the two copies can apply.
+    return job, False, [write.txn]
+
+
+def retry_reads(state, now):
+    """Return reads whose last answer was a failure."""
+    due = [key for key, at in state.read_retries.items() if now >= at]
+    for key in due:
+        del state.read_retries[key]
+    return [ReadRow(key) for key in due]
--- /dev/null
+++ b/cornelward/jobs.py
@@ -0,0 +1,324 @@
+"""Job and task tables, states and transitions.
+
+Job states: queued, starting, running, and the final succeeded, failed, cancelled,
+refused and lost. Tasks have the same states without refused. A final job record moves
+from ``jobs/`` to ``done/``.
+"""
+
+from .capacity import to_vector
+from .verdicts import Verdict
+
+__all__ = [
+    "ACTIVE",
+    "CANCELLED",
+    "FAILED",
+    "LOST",
+    "QUEUED",
+    "REFUSED",
+    "RUNNING",
+    "STARTING",
+    "SUCCEEDED",
+    "Job",
+    "JobTable",
+    "Task",
+    "apply_policy",
+    "job_from_record",
+    "job_state",
+    "refuse_job",
+    "requeue_task",
+    "settle_job",
+    "task_ended",
+    "task_lost",
+    "to_record",
+]
+
+QUEUED = "queued"
+STARTING = "starting"
+RUNNING = "running"
+SUCCEEDED = "succeeded"
+FAILED = "failed"
+CANCELLED = "cancelled"
+REFUSED = "refused"
+LOST = "lost"
+
+ACTIVE = (STARTING, RUNNING)
+
+DEFAULT_MAX_ATTEMPTS = 3
+
+
+class Task:
+    """One task of a job.
+
+    ``sent_until_ms`` is the lease of the start command on the worker's clock, None
+    while no command was sent; ``confirmed_at`` is when the worker was known to run it.
+    ``avoid`` are workers on which the task failed.
+    """
+
+    __slots__ = (
+        "attempt",
+        "avoid",
+        "confirmed_at",
+        "epoch",
+        "failures",
+        "index",
+        "job",
+        "name",
+        "sent_until_ms",
+        "started_at",
+        "state",
+        "stopping",
+        "worker",
+    )
+
+    def __init__(self, job, index, name):
+        self.job = job
+        self.index = index
+        self.name = name
+        self.state = QUEUED
+        self.worker = None
+        self.attempt = 0
+        self.epoch = 0
+        self.failures = 0
+        self.avoid = ()
+        self.sent_until_ms = None
+        self.confirmed_at = None
+        self.started_at = None
+        self.stopping = None
+
+    @property
+    def key(self):
+        """Name and attempt, which identify an execution on a worker."""
+        return (self.name, self.attempt)
+
+
+class Job:
+    """One job; ``write`` is its pending transaction, ``final`` its outcome."""
+
+    __slots__ = (
+        "acks",
+        "demand",
+        "dirty",
+        "ended",
+        "final",
+        "id",
+        "inbox",
+        "key",
+        "max_attempts",
+        "preemptible",
+        "priority",
+        "queued_at",
+        "reason",
+        "record",
+        "repeatable",
+        "run",
+        "seq",
+        "spread",
+        "tasks",
+        "team",
+        "type",
+        "urgent",
+        "version",
+        "waiting",
+        "workload",
+        "write",
+    )
+
+
+class JobTable:
+    """Active jobs and the tasks that run for them, by task name."""
+
+    def __init__(self):
+        self.by_id = {}
+        self.tasks = {}
+        self.seq = 0
+
+
+def job_from_record(table, record, version):
+    """Add the job of a table row to ``table`` and return it."""
+    job = Job()
+    job.id = record["id"]
+    job.key = record.get("key")
+    job.workload = record["workload"]
+    job.type = record["type"]
+    job.team = record["team"]
+    job.demand = to_vector(record["demand"])
+    job.run = record.get("run") or {}
+    job.record = record
+    job.version = version
+    job.reason = record.get("reason")
+    job.final = None
+    job.write = None
+    job.dirty = False
+    job.inbox = []
+    job.acks = []
+    job.waiting = []
+    job.queued_at = None
+    job.ended = 0
+    table.seq += 1
+    job.seq = table.seq
+    job.tasks = [_task_from(job, i, item) for i, item in enumerate(record["tasks"])]
+    for task in job.tasks:
+        table.tasks[task.name] = task
+        job.ended += task.state not in (QUEUED, *ACTIVE)
+    job.waiting = [task for task in reversed(job.tasks) if task.state == QUEUED]
+    apply_policy(job, {}, {})
+    table.by_id[job.id] = job
+    return job
+
+
+def _task_from(job, index, item):
+    name = str(item.get("task", index))
+    if not name.startswith(job.id):
+        # Task names are unique over all jobs on a worker.
+        name = f"{job.id}/{name}"
+    task = Task(job, index, name)
+    task.state = item.get("state") or QUEUED
+    task.worker = item.get("worker")
+    task.attempt = item.get("attempt") or 0
+    task.epoch = item.get("epoch") or 0
+    task.failures = item.get("failures") or 0
+    if task.state == RUNNING or task.state == STARTING:
+        task.sent_until_ms = 0
+    return task
+
+
+def apply_policy(job, workload, policy):
+    """Take what the operators' objects say about the job."""
+    declared = job.record.get("repeatable", True)
+    job.repeatable = bool(workload.get("repeatable", declared))
+    job.priority = policy.get("priority") or 0
+    job.urgent = bool(policy.get("urgent"))
+    default = job.type == "batch" and not job.urgent
+    job.preemptible = bool(policy.get("preemptible", default)) and job.repeatable
+    job.max_attempts = policy.get("max_attempts") or DEFAULT_MAX_ATTEMPTS
+    job.spread = policy.get("spread", job.type == "service")
+
+
+def job_state(job):
+    """Return the state of the whole job."""
+    if job.final is not None:
+        return job.final
+    states = {task.state for task in job.tasks}
+    for state in (RUNNING, STARTING):
+        if state in states:
+            return state
+    return QUEUED
+
+
+def to_record(job, nonce):
+    """Return the job record, as stored in the table."""
+    state = job_state(job)
+    verdict = job.record.get("verdict")
+    if state == LOST:
+        verdict = str(Verdict.MAY_HAVE_RUN)
+    elif state == REFUSED:
+        verdict = str(Verdict.NOT_RUN)
+    elif state in (SUCCEEDED, FAILED):
+        verdict = str(Verdict.RAN)
+    elif state == CANCELLED:
+        ran = any(task.attempt for task in job.tasks)
+        verdict = str(Verdict.MAY_HAVE_RUN if ran else Verdict.NOT_RUN)
+    return {
+        **job.record,
+        "state": state,
+        "reason": job.reason,
+        "verdict": verdict,
+        "nonce": nonce,
+        "tasks": [
+            {
+                "task": task.name,
+                "state": task.state,
+                "worker": task.worker,
+                "attempt": task.attempt,
+                "epoch": task.epoch,
+                "failures": task.failures,
+            }
+            for task in job.tasks
+        ],
+    }
+
+
+def requeue_task(task):
+    """Return an active task to the queue; the next start is a new attempt."""
+    task.state = QUEUED
+    task.worker = None
+    task.sent_until_ms = None
+    task.confirmed_at = None
+    task.started_at = None
+    task.stopping = None
+    task.job.waiting.append(task)
+    task.job.dirty = True
+
+
+def _end_task(task, state):
+    if task.state == QUEUED and task in task.job.waiting:
+        task.job.waiting.remove(task)
+    task.state = state
+    task.job.ended += 1
+    task.job.dirty = True
+
+
+def task_ended(task, ok, reason, counted):
+    """Take the result of an execution.
+
+    ``counted`` is False for failures that the job does not explain: a quarantined
+    worker, a preemption, or a stop that was ordered.
+    """
+    job = task.job
+    if ok:
+        _end_task(task, SUCCEEDED)
+    elif job.final is not None:
+        _end_task(task, CANCELLED)
+    elif not counted:
+        requeue_task(task)
+    else:
+        task.failures += 1
+        task.avoid = (*task.avoid, task.worker)
+        if not job.repeatable or task.failures >= job.max_attempts:
+            _end_task(task, FAILED)
+            _set_final(job, FAILED, reason or "the task failed")
+        else:
+            requeue_task(task)
+
+
+def task_lost(task, reason):
+    """Take the loss of an execution whose end nobody saw."""
+    job = task.job
+    if job.repeatable and job.final is None:
+        requeue_task(task)
+        return
+    if not job.repeatable:
+        _end_task(task, LOST)
+        _set_final(job, LOST, reason)
+    else:
+        _end_task(task, CANCELLED)
+
+
+def refuse_job(job, reason):
+    """End a job that can never run."""
+    _set_final(job, REFUSED, reason)
+
+
+def _set_final(job, state, reason):
+    # The first outcome stands, but a lost execution is never hidden by a cancellation.
+    if job.final is None or (state == LOST and job.final == CANCELLED):
+        job.final = state
+        job.reason = reason
+    job.dirty = True
+
+
+def settle_job(job):
+    """Return whether the job has ended: an outcome is known and no task is active."""
+    if job.final is None:
+        if job.ended < len(job.tasks):
+            return False
+        job.final = SUCCEEDED
+        job.dirty = True
+    if any(task.state in ACTIVE for task in job.tasks):
+        return False
+    for task in job.tasks:
+        if task.state == QUEUED:
+            task.state = CANCELLED
+    job.ended = len(job.tasks)
+    job.waiting = []
+    return True
--- /dev/null
+++ b/cornelward/placement.py
@@ -0,0 +1,51 @@
+"""Choice of workers: services, batch, gangs."""
+
+from .capacity import add_charge, candidates, drop_charges, fits
+
+__all__ = ["best_fit", "place_gang", "spread_fit"]
+
+# Workers examined for a service when racks that already run it come first.
+SPREAD_CANDIDATES = 48
+
+
+def best_fit(table, demand, allowed):
+    """Return the worker that ``demand`` fills best, or None.
+
+    ``allowed(worker)`` may exclude workers.
+    """
+    for worker in candidates(table, table.free, demand):
+        if fits(demand, worker.free) and allowed(worker):
+            return worker
+    return None
+
+
+def spread_fit(table, demand, allowed, rack_counts):
+    """Return a fitting worker in the rack with the fewest tasks of the job.
+
+    ``rack_counts`` maps racks to the number of tasks of the job.
+    """
+    best, best_count = None, None
+    for seen, worker in enumerate(candidates(table, table.free, demand), 1):
+        if fits(demand, worker.free) and allowed(worker):
+            count = rack_counts.get(worker.rack, 0)
+            if best is None or count < best_count:
+                best, best_count = worker, count
+            if count == 0:
+                break
+        if best is not None and seen >= SPREAD_CANDIDATES:
+            break
+    return best
+
+
+def place_gang(table, demand, keys, allowed):
+    """Return a worker for each key, charged, or None when not all of them fit."""
+    chosen = []
+    for key in keys:
+        worker = best_fit(table, demand, allowed)
+        if worker is None:
+            for placed, placed_key in zip(chosen, keys, strict=False):
+                drop_charges(table, placed, [placed_key])
+            return None
+        add_charge(table, worker, key, demand)
+        chosen.append(worker)
+    return chosen
--- /dev/null
+++ b/cornelward/quotas.py
@@ -0,0 +1,165 @@
+"""Teams: queues, usage and quotas, in the order of dominant share.
+
+Usage is counted when capacity is reserved. A team's share is its largest fraction of
+the failure domain's capacity in any dimension; the team with the smallest share is
+served first, so that a wave of one team delays only that team.
+"""
+
+from sortedcontainers import SortedList
+
+from .capacity import ZERO, Vector, fits, to_vector
+
+__all__ = [
+    "Team",
+    "TeamTable",
+    "charge_team",
+    "dominant_share",
+    "drop_entry",
+    "enqueue_job",
+    "exceeds_quota",
+    "quota_room",
+    "set_others",
+    "set_quotas",
+    "usage_value",
+]
+
+
+class Team:
+    """Usage and queue of one team; ``quota`` is None when it has none."""
+
+    __slots__ = ("name", "others", "place", "queue", "quota", "used")
+
+    def __init__(self, name):
+        self.name = name
+        self.quota = None
+        self.used = ZERO
+        self.others = ZERO
+        # (-priority, sequence number, job id): operators' priorities, then arrival.
+        self.queue = SortedList()
+        self.place = None
+
+
+class TeamTable:
+    """All teams; ``waiting`` orders those with a queue by dominant share."""
+
+    def __init__(self):
+        self.by_name = {}
+        self.waiting = SortedList()
+        self.total = ZERO
+        self.changed = False
+
+
+def get_team(table, name):
+    """Return the team, adding it if it is new."""
+    team = table.by_name.get(name)
+    if team is None:
+        team = table.by_name[name] = Team(name)
+    return team
+
+
+def set_quotas(table, quotas):
+    """Take the quotas of the configuration: name to Vector-like dict or None."""
+    for team in table.by_name.values():
+        team.quota = None
+    for name, quota in quotas.items():
+        get_team(table, name).quota = _limits(quota)
+
+
+def _limits(quota):
+    """Return the quota as a Vector; a dimension that is not named is not limited."""
+    if not quota:
+        return None
+    names = ("cpu", "memory_mb", "accelerators")
+    return Vector(*(float(quota.get(name, float("inf"))) for name in names))
+
+
+def set_others(table, rows, own_key):
+    """Take the usage that the owners of other failure domains published."""
+    sums = {}
+    for row in rows:
+        if row.key != own_key:
+            for name, used in row.value["teams"].items():
+                sums.setdefault(name, []).append(to_vector(used))
+    for name in sums:
+        get_team(table, name)
+    for team in table.by_name.values():
+        parts = sums.get(team.name, ())
+        team.others = Vector(*(sum(part[i] for part in parts) for i in range(3)))
+
+
+def usage_value(table):
+    """Return the value of the own ``usage/<fd>`` row."""
+    return {
+        "teams": {
+            team.name: team.used._asdict()
+            for team in table.by_name.values()
+            if any(team.used)
+        }
+    }
+
+
+def charge_team(table, name, demand, count):
+    """Add (or release, when negative) ``count`` times ``demand``."""
+    team = get_team(table, name)
+    team.used = Vector(
+        *(used + count * size for used, size in zip(team.used, demand, strict=True))
+    )
+    table.changed = True
+    _reorder(table, team)
+
+
+def quota_room(table, name, demand, count):
+    """Return how many of ``count`` tasks the team's quota admits now."""
+    team = get_team(table, name)
+    if team.quota is None:
+        return count
+    room = count
+    for limit, used, others, size in zip(
+        team.quota, team.used, team.others, demand, strict=True
+    ):
+        if size > 0 and limit < float("inf"):
+            room = min(room, int((limit - used - others) / size + 1e-6))
+    return max(room, 0)
+
+
+def exceeds_quota(table, name, demand):
+    """Return whether ``demand`` is above the team's quota even when nothing runs."""
+    quota = get_team(table, name).quota
+    return quota is not None and not fits(demand, quota)
+
+
+def enqueue_job(table, job):
+    """Queue a job that has waiting tasks; queued jobs are not queued twice."""
+    team = get_team(table, job.team)
+    entry = (-job.priority, job.seq, job.id)
+    if entry not in team.queue:
+        team.queue.add(entry)
+    _reorder(table, team)
+
+
+def drop_entry(table, team, entry):
+    """Remove an entry from the team's queue."""
+    team.queue.discard(entry)
+    _reorder(table, team)
+
+
+def dominant_share(table, team):
+    """Return the largest fraction of the capacity that the team uses."""
+    return max(
+        (
+            used / size
+            for used, size in zip(team.used, table.total, strict=True)
+            if size > 0
+        ),
+        default=0.0,
+    )
+
+
+def _reorder(table, team):
+    place = (dominant_share(table, team), team.name) if team.queue else None
+    if place != team.place:
+        if team.place is not None:
+            table.waiting.remove(team.place)
+        if place is not None:
+            table.waiting.add(place)
+        team.place = place
--- /dev/null
+++ b/cornelward/task_inbox.py
@@ -0,0 +1,191 @@
+"""What the owner reads from the table: jobs at takeover, the inbox, other usage."""
+
+from .capacity import add_charge
+from .job_writes import mark_dirty
+from .jobs import ACTIVE, CANCELLED, apply_policy, job_from_record, settle_job
+from .quotas import charge_team, enqueue_job, set_others, set_quotas, usage_value
+from .task_effects import ListRows, ReadRow, Txn
+
+__all__ = [
+    "cancel_job",
+    "inbox_listed",
+    "inbox_written",
+    "job_read",
+    "jobs_listed",
+    "load_due",
+    "policy_changed",
+    "usage_due",
+    "usage_listed",
+]
+
+RETRY_S = 0.5
+USAGE_S = 2.0
+# Rows read one by one before the whole prefix is listed instead.
+MAX_READS = 64
+MAX_DELETES = 200
+
+
+def load_due(state, now):
+    """Return reads that are due: all jobs after a takeover, then the inbox."""
+    effects = []
+    if not state.loaded:
+        if not state.loading and now >= state.load_at:
+            state.loading = True
+            effects.append(ListRows(f"jobs/{state.fd}/"))
+        return effects
+    if now >= state.inbox_at and not state.inbox_busy:
+        state.inbox_busy = True
+        state.inbox_at = now + state.cfg["inbox_poll_s"]
+        effects.append(ListRows(f"inbox/{state.fd}/"))
+    return effects
+
+
+def jobs_listed(state, now, rows):
+    """Take all rows of active jobs."""
+    state.loading = False
+    if rows is None:
+        state.load_at = now + RETRY_S
+        return
+    for row in rows:
+        if row.value["id"] not in state.jobs.by_id:
+            _add_job(state, row)
+    state.loaded = True
+    state.inbox_at = now
+    for worker in state.workers.by_id.values():
+        worker.renew_at = now
+
+
+def _add_job(state, row):
+    job = job_from_record(state.jobs, row.value, row.version)
+    _apply_objects(state, job)
+    for task in job.tasks:
+        if task.state in ACTIVE:
+            state.assigned.setdefault(task.worker, {})[task.name] = task
+            charge_team(state.teams, job.team, job.demand, 1)
+            worker = state.workers.by_id.get(task.worker)
+            if worker is not None:
+                add_charge(state.workers, worker, task.key, job.demand, job.preemptible)
+    if job.waiting:
+        enqueue_job(state.teams, job)
+    if settle_job(job):
+        mark_dirty(state, job)
+    state.place_wanted = True
+
+
+def _apply_objects(state, job):
+    workload = state.workloads.get(job.workload, {})
+    apply_policy(job, workload, state.policies.get(workload.get("policy"), {}))
+
+
+def policy_changed(state):
+    """Apply newer operators' objects to the jobs in memory."""
+    set_quotas(state.teams, state.quotas)
+    for job in state.jobs.by_id.values():
+        _apply_objects(state, job)
+        if job.waiting and job.final is None:
+            enqueue_job(state.teams, job)
+    state.place_wanted = True
+
+
+def inbox_listed(state, now, rows):
+    """Take the inbox; rows that say nothing new are deleted."""
+    state.inbox_busy = False
+    if rows is None:
+        return []
+    reads = []
+    for row in rows:
+        _, _, rest = row.key.partition(f"inbox/{state.fd}/")
+        job_id, _, op = rest.rpartition("/")
+        job = state.jobs.by_id.get(job_id)
+        if job is not None:
+            _take_op(state, job, op, row.key)
+        elif job_id in state.recently_done:
+            state.inbox_deletes[row.key] = None
+        elif job_id not in state.fetching and len(reads) < MAX_READS:
+            state.fetching.add(job_id)
+            reads.append(ReadRow(f"jobs/{state.fd}/{job_id}"))
+        if job_id in state.fetching:
+            # What follows for a job that is being read shows in the next list.
+            state.inbox_at = min(state.inbox_at, now + 0.1)
+    return reads + _consume(state)
+
+
+def _take_op(state, job, op, key):
+    if op != "cancel":
+        state.inbox_deletes[key] = None
+    elif key not in job.inbox:
+        cancel_job(state, job)
+        job.inbox.append(key)
+
+
+def cancel_job(state, job):
+    """Mark a job as cancelled in O(1).
+
+    Queue entries are dropped when they are reached; workers stop its tasks after their
+    next report.
+    """
+    if job.final is None:
+        job.final = CANCELLED
+        job.reason = "cancelled"
+        mark_dirty(state, job)
+
+
+def job_read(state, now, key, row):
+    """Take a job row that an inbox row pointed to."""
+    prefix = f"jobs/{state.fd}/"
+    if not key.startswith(prefix):
+        return
+    job_id = key[len(prefix) :]
+    state.fetching.discard(job_id)
+    if row is None or job_id in state.jobs.by_id:
+        return
+    if row.version and job_id not in state.recently_done:
+        _add_job(state, row)
+    elif not row.version:
+        state.recently_done[job_id] = None
+
+
+def _consume(state):
+    if not state.inbox_deletes or state.inbox_txn is not None:
+        return []
+    keys = list(state.inbox_deletes)[:MAX_DELETES]
+    for key in keys:
+        del state.inbox_deletes[key]
+    state.inbox_txn = state.new_id()
+    own = state.own
+    return [Txn(state.inbox_txn, [[own.fence_key, own.fence_version]], [], keys)]
+
+
+def inbox_written(state, now, txn_id, result):
+    """Take the result of a deletion or usage write; rows that remain show again."""
+    if txn_id == state.inbox_txn:
+        state.inbox_txn = None
+    elif txn_id == state.usage_txn:
+        state.usage_txn = None
+        if not isinstance(result, dict):
+            state.teams.changed = True
+
+
+def usage_due(state, now):
+    """Return the write of the own usage and the read of the others'."""
+    if now < state.usage_at or not state.loaded or state.usage_busy:
+        return []
+    state.usage_at = now + USAGE_S
+    state.usage_busy = True
+    effects = [ListRows("usage/")]
+    if state.teams.changed and state.usage_txn is None:
+        state.teams.changed = False
+        state.usage_txn = state.new_id()
+        own = state.own
+        put = [f"usage/{state.fd}", usage_value(state.teams)]
+        checks = [[own.fence_key, own.fence_version]]
+        effects.append(Txn(state.usage_txn, checks, [put], []))
+    return effects
+
+
+def usage_listed(state, now, rows):
+    """Take the usage of the other owners; the last known stays during an outage."""
+    state.usage_busy = False
+    if rows is not None:
+        set_others(state.teams, rows, f"usage/{state.fd}")
+        state.place_wanted = True
--- /dev/null
+++ b/cornelward/task_reports.py
@@ -0,0 +1,238 @@
+"""What workers say: reports, start answers and lapses, applied to the task table."""
+
+from .capacity import drop_charges, refresh
+from .job_writes import mark_dirty
+from .jobs import ACTIVE, RUNNING, STARTING, task_ended, task_lost
+from .quotas import enqueue_job
+from .task_effects import SignalTask, StartTask
+from .task_state import requeue, unassign
+from .worker_leases import close_gate, is_usable, lapse_at, lease_until_ms, take_report
+
+__all__ = ["check_lapses", "lapse_worker", "send_starts", "start_answered", "take_body"]
+
+
+def take_body(state, now, worker, sent_at, body):
+    """Apply a report under the present epoch; return effects."""
+    state.stats["reports"] += 1
+    running = {(item["task"], item["attempt"]) for item in body["running"]}
+    finished = {(item["task"], item["attempt"]): item for item in body["finished"]}
+    effects = []
+    if state.loaded:
+        _take_finished(state, now, worker, finished)
+        _take_running(state, now, worker, running)
+        _take_missing(state, worker, sent_at, body, running, finished)
+        effects = _stop_unwanted(state, worker, running)
+        worker.acks &= finished.keys()
+    assigned = state.assigned.get(worker.id, {})
+    keep = {task.key for task in assigned.values()}
+    free = worker.free
+    take_report(state.workers, worker, now, sent_at, body, keep)
+    if worker.free != free:
+        state.place_wanted = True
+    return effects
+
+
+def _current(state, worker, key):
+    """Return the active task that this execution belongs to, or None."""
+    task = state.assigned.get(worker.id, {}).get(key[0])
+    return task if task is not None and task.attempt == key[1] else None
+
+
+def _take_finished(state, now, worker, finished):
+    for key, item in finished.items():
+        if key in worker.acks:
+            continue
+        task = _current(state, worker, key)
+        if task is None:
+            # The result of an execution that counts no more needs no record.
+            if not _needs_record(state.jobs.tasks.get(key[0]), worker, key):
+                worker.acks.add(key)
+            continue
+        _end(state, now, task, worker, item)
+
+
+def _needs_record(task, worker, key):
+    """Return whether a row must hold the result before the worker may forget it."""
+    if task is None:
+        return False
+    if task.attempt == key[1] and task.state in ACTIVE:
+        return True
+    ack = (worker.id, key)
+    write = task.job.write
+    return ack in task.job.acks or (write is not None and ack in write.acks)
+
+
+def _end(state, now, task, worker, item):
+    ordered = task.stopping is not None
+    unassign(state, task)
+    task_ended(task, bool(item["ok"]), item.get("reason"), counted=not ordered)
+    # The worker forgets the result only after the row holds it.
+    task.job.acks.append((worker.id, (item["task"], item["attempt"])))
+    _after_change(state, task)
+
+
+def _after_change(state, task):
+    job = task.job
+    mark_dirty(state, job)
+    if job.final is None and job.waiting:
+        enqueue_job(state.teams, job)
+
+
+def _take_running(state, now, worker, running):
+    for key in running:
+        task = _current(state, worker, key)
+        if task is not None and task.confirmed_at is None:
+            confirm(state, now, task)
+
+
+def confirm(state, now, task):
+    """Note that the worker runs the task."""
+    task.state = RUNNING
+    task.confirmed_at = now
+    if task.started_at is None:
+        task.started_at = now
+    if task.job.type != "batch":
+        mark_dirty(state, task.job)
+
+
+def _take_missing(state, worker, sent_at, body, running, finished):
+    for task in list(state.assigned.get(worker.id, {}).values()):
+        if task.key in running or task.key in finished:
+            continue
+        if task.confirmed_at is not None:
+            gone = sent_at > task.confirmed_at
+        elif task.sent_until_ms is None:
+            gone = False
+        elif task.epoch < state.own.epoch:
+            # The worker refuses commands of the former owner since this report.
+            gone = True
+        else:
+            gone = body["clock_ms"] > task.sent_until_ms
+        if gone:
+            lose(state, task, f"worker {worker.id} no longer runs the task")
+
+
+def lose(state, task, reason):
+    """Take the loss of an execution; restart it if it may be repeated."""
+    unassign(state, task)
+    if task.sent_until_ms is None:
+        task.job.waiting.append(task)
+        task.state = "queued"
+        task.worker = None
+    else:
+        task_lost(task, reason)
+    _after_change(state, task)
+
+
+def _stop_unwanted(state, worker, running):
+    effects = []
+    for key in sorted(running):
+        task = _current(state, worker, key)
+        if task is None:
+            effects.append(_signal(state, worker, key, "stop"))
+        elif task.job.final is not None or _regroups(task.job):
+            task.stopping = "stop"
+        if task is not None and task.stopping:
+            effects.append(_signal(state, worker, key, task.stopping))
+    return effects
+
+
+def _regroups(job):
+    """Return whether a gang lost a task and must start again as a whole."""
+    return job.type == "gang" and bool(job.waiting)
+
+
+def _signal(state, worker, key, action):
+    body = {
+        "epoch": state.own.epoch,
+        "task": key[0],
+        "attempt": key[1],
+        "action": action,
+    }
+    return SignalTask(worker.id, worker.address, body)
+
+
+def send_starts(state, now, job, starts):
+    """Return start commands for tasks whose starting record is durable."""
+    tasks = [
+        task
+        for task, attempt in starts
+        if task.state == STARTING
+        and task.attempt == attempt
+        and task.sent_until_ms is None
+    ]
+    ready = [
+        task
+        for task in tasks
+        if job.final is None
+        and is_usable(state.workers.by_id[task.worker], state.own.epoch)
+    ]
+    if job.type == "gang" and len(ready) < len(starts):
+        ready = []
+    effects = []
+    for task in tasks:
+        if task not in ready:
+            requeue(state, task, drop=True)
+            continue
+        worker = state.workers.by_id[task.worker]
+        task.sent_until_ms = lease_until_ms(worker, state.cfg)
+        state.stats["starts"] += 1
+        body = {
+            "epoch": state.own.epoch,
+            "task": task.name,
+            "attempt": task.attempt,
+            "demand": job.demand._asdict(),
+            "lease_until_ms": task.sent_until_ms,
+            "run": job.run,
+        }
+        effects.append(StartTask(worker.id, worker.address, body))
+    return effects
+
+
+def start_answered(state, now, worker, key, status):
+    """Apply the answer to a start command that was not lost."""
+    task = _current(state, worker, key)
+    if task is None or task.state != STARTING or task.sent_until_ms is None:
+        return
+    if status == 200:
+        confirm(state, now, task)
+    elif status in (409, 507):
+        # Not started. The worker's next report shows why; nothing goes there before.
+        requeue(state, task, drop=True)
+        worker.accepts = False
+        worker.renew_at = now
+        refresh(state.workers, worker)
+    elif 400 <= status < 500:
+        unassign(state, task, drop=True)
+        task_ended(task, False, f"worker refused the task: {status}", counted=True)
+        _after_change(state, task)
+
+
+def check_lapses(state, now):
+    """Restart what ran on workers whose lease has certainly expired."""
+    for worker in list(state.workers.by_id.values()):
+        if now >= lapse_at(worker, state.own, state.cfg):
+            lapse_worker(state, worker)
+            if not worker.member and not worker.charges:
+                del state.workers.by_id[worker.id]
+    unknown = [name for name in state.assigned if name not in state.workers.by_id]
+    wait = state.cfg["worker_lease_s"] + 2 * state.cfg["worker_renew_s"] + 0.5
+    for name in unknown:
+        if now >= state.own.owner_since + wait:
+            _lose_all(state, name)
+
+
+def lapse_worker(state, worker):
+    """Close the worker's gate and take its tasks as stopped."""
+    if worker.epoch:
+        close_gate(state.workers, worker)
+        worker.acks = set()
+    if state.loaded:
+        _lose_all(state, worker.id)
+    if worker.charges:
+        drop_charges(state.workers, worker, list(worker.charges))
+
+
+def _lose_all(state, worker_id):
+    for task in list(state.assigned.get(worker_id, {}).values()):
+        lose(state, task, f"the lease of worker {worker_id} expired")
--- /dev/null
+++ b/cornelward/task_scheduler.py
@@ -0,0 +1,345 @@
+"""Task core: ties ownership, jobs, placement, quotas, workers and leases together.
+
+Each event returns the effects that the process shell carries out in order. Times are
+monotonic seconds. ``sent_at`` is when the shell carried out the effect that an answer
+belongs to; an answer that never came is None, and each effect but SignalTask is
+answered exactly once.
+"""
+
+from .job_writes import flush_jobs, retry_reads, write_done, write_read
+from .jobs import ACTIVE, job_state
+from .ownership import (
+    LEFT,
+    OWNER,
+    has_authority,
+    may_renew_workers,
+    owner_read,
+    owner_written,
+    poll_owner,
+    release_owner,
+    step_down,
+)
+from .quotas import set_quotas, usage_value
+from .task_effects import (
+    ListRows,
+    ReadRow,
+    RenewWorker,
+    SignalTask,
+    StartTask,
+    Txn,
+)
+from .task_inbox import (
+    inbox_listed,
+    inbox_written,
+    job_read,
+    jobs_listed,
+    load_due,
+    policy_changed,
+    usage_due,
+    usage_listed,
+)
+from .task_reports import (
+    check_lapses,
+    lapse_worker,
+    send_starts,
+    start_answered,
+    take_body,
+)
+from .task_state import SchedulerState, reset
+from .task_steps import place_jobs
+from .worker_leases import forget_reports, lapse_at, renew_due, set_members
+
+__all__ = [
+    "ListRows",
+    "ReadRow",
+    "RenewWorker",
+    "SignalTask",
+    "StartTask",
+    "Txn",
+    "dump",
+    "has_left",
+    "lease_reply",
+    "leave",
+    "may_send",
+    "new_scheduler",
+    "next_wakeup",
+    "notice",
+    "row_read",
+    "rows_listed",
+    "start_reply",
+    "tick",
+    "txn_done",
+    "update_config",
+    "update_members",
+]
+
+
+def new_scheduler(cfg, identity, rng):
+    """Return the state of a standby scheduler.
+
+    ``cfg`` are the settings of a scheduler, ``identity`` has ``id``, ``incarnation``,
+    ``failure_domain`` and ``peer_address``.
+    """
+    return SchedulerState(cfg, identity, rng)
+
+
+def row_read(state, now, sent_at, key, row):
+    """Take the answer to a ReadRow; ``row`` is None when the table failed."""
+    if key == state.own.key:
+        effects = owner_read(state.own, now, row, state.new_id)
+        return effects + _advance(state, now)
+    if key in state.reading:
+        return _read_back(state, now, key, row) + _advance(state, now)
+    if state.own.role == OWNER:
+        job_read(state, now, key, row)
+    return _advance(state, now)
+
+
+def rows_listed(state, now, sent_at, prefix, rows):
+    """Take the answer to a ListRows; ``rows`` is None when the table failed."""
+    if state.own.role != OWNER:
+        return []
+    effects = []
+    if sent_at < state.own.owner_since:
+        # The list was read for an earlier epoch.
+        return []
+    if prefix == f"jobs/{state.fd}/":
+        jobs_listed(state, now, rows)
+    elif prefix == f"inbox/{state.fd}/":
+        effects = inbox_listed(state, now, rows)
+    else:
+        usage_listed(state, now, rows)
+    return effects + _advance(state, now)
+
+
+def txn_done(state, now, sent_at, txn_id, result):
+    """Take the result of a Txn: versions, a Conflict, or None when it is unknown."""
+    effects = []
+    if txn_id == state.own.txn_id:
+        effects = owner_written(state.own, now, sent_at, txn_id, result)
+        state.left = state.own.role == LEFT
+    elif txn_id in state.writes:
+        job = state.writes[txn_id]
+        applied, effects = write_done(state, now, job, result)
+        if applied:
+            effects = _write_applied(state, now, job)
+    else:
+        inbox_written(state, now, txn_id, result)
+    return effects + _advance(state, now)
+
+
+def lease_reply(state, now, sent_at, worker, status, body):
+    """Take the answer to a RenewWorker; ``status`` is None when there was none."""
+    entry = state.workers.by_id.get(worker)
+    if entry is None or state.own.role != OWNER:
+        return []
+    entry.in_flight = None
+    if status is None:
+        return _advance(state, now)
+    if _is_superseded(state, now, status, body):
+        return _advance(state, now)
+    stale = sent_at < entry.report_sent_at or sent_at < state.own.owner_since
+    if status != 200 or body["epoch"] != state.own.epoch or stale:
+        return _advance(state, now)
+    if now >= lapse_at(entry, state.own, state.cfg):
+        lapse_worker(state, entry)
+    effects = take_body(state, now, entry, sent_at, body)
+    return effects + _advance(state, now)
+
+
+def start_reply(state, now, sent_at, worker, task, attempt, status, body):
+    """Take the answer to a StartTask; ``status`` is None when there was none."""
+    entry = state.workers.by_id.get(worker)
+    if entry is None or state.own.role != OWNER:
+        return []
+    if status is not None and not _is_superseded(state, now, status, body):
+        start_answered(state, now, entry, (task, attempt), status)
+    return _advance(state, now)
+
+
+def update_members(state, now, instances):
+    """Take the platform's list of instances."""
+    own = [item for item in instances if item["failure_domain"] == state.fd]
+    set_members(state.workers, now, state.rng, state.cfg["worker_renew_s"], own)
+    _set_total(state)
+    state.place_wanted = True
+    return _advance(state, now)
+
+
+def update_config(state, now, version, objects):
+    """Take a newer configuration: a list of objects with kind and name."""
+    if version <= state.config_version:
+        return []
+    state.config_version = version
+    by_kind = {"workload": {}, "policy": {}, "team": {}}
+    for item in objects:
+        by_kind.get(item["kind"], {})[item["name"]] = item
+    state.workloads = by_kind["workload"]
+    state.policies = by_kind["policy"]
+    state.quotas = {name: t.get("quota") for name, t in by_kind["team"].items()}
+    policy_changed(state)
+    return _advance(state, now)
+
+
+def leave(state, now):
+    """Start a graceful shutdown: finish the writes, then give up the owner row."""
+    state.leaving = True
+    return _advance(state, now)
+
+
+def has_left(state):
+    """Return whether the process may exit after ``leave``."""
+    return state.left or (state.leaving and state.own.role != OWNER)
+
+
+def notice(state, now, job_id):
+    """Take a hint that the inbox holds a row for this job: read it now."""
+    state.inbox_at = now
+    return _advance(state, now)
+
+
+def tick(state, now):
+    """Do what is due."""
+    if state.own.role == OWNER:
+        check_lapses(state, now)
+    return _advance(state, now)
+
+
+def may_send(state, now):
+    """Return whether a StartTask may be sent now, for shells that queue effects."""
+    return has_authority(state.own, now)
+
+
+def next_wakeup(state):
+    """Return when ``tick`` is due next."""
+    times = [] if state.own.busy else [state.own.next_at]
+    if state.own.role == OWNER:
+        workers = state.workers.by_id.values()
+        times += [w.renew_at for w in workers if w.in_flight is None]
+        times += list(state.read_retries.values())
+        times.append(state.inbox_at if not state.inbox_busy else state.usage_at)
+    return min(times, default=None)
+
+
+def dump(state, now):
+    """Return the state as JSON-ready values."""
+    own = state.own
+    return {
+        "owner": {
+            "role": own.role,
+            "epoch": own.epoch,
+            "authority": has_authority(own, now),
+            "loaded": state.loaded,
+        },
+        "config_version": state.config_version,
+        "stats": dict(state.stats),
+        "writes": len(state.writes),
+        "workers": [
+            {
+                "id": worker.id,
+                "epoch": worker.epoch,
+                "accepts": worker.accepts,
+                "free": worker.free._asdict(),
+                "tasks": len(worker.charges),
+            }
+            for worker in state.workers.by_id.values()
+        ],
+        "jobs": [
+            {
+                "id": job.id,
+                "state": job_state(job),
+                "waiting": len(job.waiting),
+                "active": sum(task.state in ACTIVE for task in job.tasks),
+            }
+            for job in state.jobs.by_id.values()
+        ],
+        "usage": usage_value(state.teams)["teams"],
+    }
+
+
+def _advance(state, now):
+    """Do everything that became possible; common end of all events."""
+    own = state.own
+    _follow_role(state, now)
+    effects = poll_owner(own, now, state.new_id)
+    if own.role != OWNER:
+        return effects
+    if may_renew_workers(own, now):
+        effects += renew_due(state.workers, now, own, state.cfg)
+    if has_authority(own, now):
+        unsent, state.unsent = state.unsent, []
+        for job, starts in unsent:
+            effects += send_starts(state, now, job, starts)
+        effects += load_due(state, now)
+        effects += usage_due(state, now)
+        place_jobs(state, now)
+        effects += flush_jobs(state, now)
+    effects += retry_reads(state, now)
+    done = not (own.busy or state.writes or state.reading)
+    if state.leaving and done:
+        effects += release_owner(own, state.new_id)
+    return effects
+
+
+def _follow_role(state, now):
+    """Start afresh after a takeover or the loss of the ownership."""
+    epoch = state.own.epoch if state.own.role == OWNER else 0
+    if epoch == state.epoch_seen:
+        return
+    reset(state)
+    forget_reports(state.workers, now)
+    set_quotas(state.teams, state.quotas)
+    _set_total(state)
+    state.epoch_seen = epoch
+
+
+def _set_total(state):
+    workers = state.workers.by_id.values()
+    sums = [sum(worker.capacity[i] for worker in workers) for i in range(3)]
+    state.teams.total = type(state.workers.largest)(*sums)
+
+
+def _is_superseded(state, now, status, body):
+    """Step down when a worker has seen a higher epoch."""
+    if status == 409 and body and body.get("epoch", 0) > state.own.epoch:
+        step_down(state.own, now)
+        state.own.busy = False
+        state.own.txn_id = None
+        return True
+    return False
+
+
+def _write_applied(state, now, job):
+    write, job.write = job.write, None
+    for worker_id, key in write.acks:
+        worker = state.workers.by_id.get(worker_id)
+        if worker is not None:
+            worker.acks.add(key)
+    if write.final:
+        _forget_job(state, job)
+        return []
+    if not has_authority(state.own, now):
+        # The record is durable, but another owner may exist: ask again when the
+        # authority is renewed.
+        state.unsent.append((job, write.starts))
+        return []
+    return send_starts(state, now, job, write.starts)
+
+
+def _forget_job(state, job):
+    for task in job.tasks:
+        state.jobs.tasks.pop(task.name, None)
+    state.jobs.by_id.pop(job.id, None)
+    state.recently_done[job.id] = None
+    while len(state.recently_done) > 10_000:
+        state.recently_done.popitem(last=False)
+
+
+def _read_back(state, now, key, row):
+    job, applied, effects = write_read(state, now, key, row)
+    if applied:
+        return effects + _write_applied(state, now, job)
+    if applied is None:
+        # Another owner wrote: the table decides.
+        step_down(state.own, now)
+    return effects
--- /dev/null
+++ b/cornelward/task_state.py
@@ -0,0 +1,105 @@
+"""State of the task core, and the bookkeeping that its systems share."""
+
+import itertools
+from collections import OrderedDict
+
+from .capacity import WorkerTable, add_charge, drop_charges
+from .job_writes import mark_dirty
+from .jobs import JobTable, requeue_task
+from .ownership import Ownership
+from .quotas import TeamTable, charge_team, enqueue_job
+
+__all__ = ["SchedulerState", "assign", "requeue", "unassign"]
+
+
+class SchedulerState:
+    """Everything one scheduler knows; rebuilt from the table and the workers."""
+
+    def __init__(self, cfg, identity, rng):
+        self.cfg = cfg
+        self.identity = identity
+        self.fd = identity.failure_domain
+        self.rng = rng
+        self.own = Ownership(cfg, identity)
+        self.workers = WorkerTable()
+        self.config_version = 0
+        self.workloads = {}
+        self.policies = {}
+        self.quotas = {}
+        self.ids = itertools.count(1)
+        self.leaving = False
+        self.left = False
+        self.stats = {"decisions": 0, "starts": 0, "reports": 0, "preemptions": 0}
+        reset(self)
+
+    def new_id(self):
+        return next(self.ids)
+
+
+def reset(state):
+    """Forget what belongs to an epoch of ownership."""
+    state.jobs = JobTable()
+    state.teams = TeamTable()
+    state.assigned = {}
+    state.writes = {}
+    state.unsent = []
+    state.reading = {}
+    state.read_retries = {}
+    state.dirty = {}
+    state.dirty_first = {}
+    state.loaded = False
+    state.loading = False
+    state.load_at = 0.0
+    state.inbox_at = 0.0
+    state.inbox_busy = False
+    state.inbox_txn = None
+    state.inbox_deletes = {}
+    state.fetching = set()
+    state.recently_done = OrderedDict()
+    state.usage_at = 0.0
+    state.usage_txn = None
+    state.usage_busy = False
+    state.place_wanted = True
+    state.epoch_seen = 0
+
+
+def assign(state, task, worker, now):
+    """Reserve capacity and quota for a task and mark it as starting."""
+    job = task.job
+    task.state = "starting"
+    task.worker = worker.id
+    task.attempt += 1
+    task.epoch = state.own.epoch
+    task.sent_until_ms = None
+    task.confirmed_at = None
+    task.started_at = now
+    task.stopping = None
+    state.assigned.setdefault(worker.id, {})[task.name] = task
+    add_charge(state.workers, worker, task.key, job.demand, job.preemptible)
+    charge_team(state.teams, job.team, job.demand, 1)
+    mark_dirty(state, job, first=True)
+
+
+def unassign(state, task, drop=False):
+    """Release the quota of an active task; with ``drop`` its capacity too.
+
+    The capacity of a task that may still run is released by the worker's report.
+    """
+    tasks = state.assigned.get(task.worker, {})
+    tasks.pop(task.name, None)
+    if not tasks:
+        state.assigned.pop(task.worker, None)
+    charge_team(state.teams, task.job.team, task.job.demand, -1)
+    worker = state.workers.by_id.get(task.worker)
+    if drop and worker is not None:
+        drop_charges(state.workers, worker, [task.key])
+    mark_dirty(state, task.job)
+    state.place_wanted = True
+
+
+def requeue(state, task, drop=False):
+    """Return an active task to the queue."""
+    unassign(state, task, drop)
+    requeue_task(task)
+    if task.job.final is None:
+        enqueue_job(state.teams, task.job)
--- /dev/null
+++ b/cornelward/worker_leases.py
@@ -0,0 +1,146 @@
+"""Leases of workers: renewals, reports and lapses.
+
+``lease_until_ms`` is always the worker's own clock as it was reported last plus the
+lease. The worker read its clock before the report arrived here, so that its lease ends
+at most ``worker_lease_s`` after the arrival.
+"""
+
+from .capacity import Worker, add_charge, drop_charges, refresh, set_usage, to_vector
+from .task_effects import LEASE_MARGIN_S, RenewWorker
+
+__all__ = [
+    "forget_reports",
+    "is_usable",
+    "lapse_at",
+    "lease_until_ms",
+    "renew_due",
+    "set_members",
+    "take_report",
+]
+
+
+def set_members(table, now, rng, renew_s, instances):
+    """Bring the worker table in line with the platform's membership list."""
+    seen = set()
+    for item in instances:
+        if item["kind"] != "worker":
+            continue
+        seen.add(item["id"])
+        capacity = to_vector(item)
+        worker = table.by_id.get(item["id"])
+        if worker is None:
+            worker = Worker(item["id"], item["address"], item.get("rack"), capacity)
+            # Spreads the renewals over the interval.
+            worker.renew_at = now + rng.random() * min(renew_s, 0.25)
+            table.by_id[worker.id] = worker
+        worker.address = item["address"]
+        worker.member = True
+        accepts = item["state"] == "live" and worker.epoch > 0
+        table.largest = type(capacity)(*map(max, table.largest, capacity))
+        if worker.accepts != accepts and item["state"] != "live":
+            worker.accepts = False
+            refresh(table, worker)
+    for worker in table.by_id.values():
+        if worker.id not in seen:
+            worker.member = False
+
+
+def forget_reports(table, now):
+    """Close the gate of every worker, at the start of a new epoch."""
+    for worker in table.by_id.values():
+        close_gate(table, worker)
+        worker.contacted_at = None
+        worker.in_flight = None
+        worker.renew_at = now
+        worker.acks = set()
+        worker.tasks = {}
+        drop_charges(table, worker, list(worker.charges))
+
+
+def close_gate(table, worker):
+    """Place nothing on the worker until it has answered again."""
+    worker.epoch = 0
+    worker.reported_at = None
+    worker.accepts = False
+    refresh(table, worker)
+
+
+def is_usable(worker, epoch):
+    """Return whether the worker answered under ``epoch`` and has not lapsed since."""
+    return worker.epoch == epoch and worker.epoch > 0
+
+
+def lapse_at(worker, own, cfg):
+    """Return when the worker's lease has certainly expired, or None before contact.
+
+    A worker that never answered under this epoch may hold a lease of the former owner,
+    which stops renewing when any worker tells it of the higher epoch.
+    """
+    wait = cfg["worker_lease_s"] + LEASE_MARGIN_S
+    if worker.reported_at is not None:
+        return worker.reported_at + wait
+    return own.owner_since + 2 * cfg["worker_renew_s"] + wait
+
+
+def lease_until_ms(worker, cfg):
+    """Return the end of the next lease on the worker's clock, 0 before a report."""
+    if worker.epoch == 0:
+        return 0
+    return worker.clock_ms + int(cfg["worker_lease_s"] * 1000)
+
+
+def renew_due(table, now, own, cfg):
+    """Return renewals of all workers that are due."""
+    effects = []
+    for worker in table.by_id.values():
+        waiting = worker.in_flight is not None and now < worker.in_flight + 5.0
+        if now < worker.renew_at or waiting:
+            continue
+        worker.in_flight = now
+        worker.renew_at = now + cfg["worker_renew_s"]
+        if worker.contacted_at is None:
+            worker.contacted_at = now
+        body = {
+            "epoch": own.epoch,
+            "owner": own.id,
+            "lease_until_ms": lease_until_ms(worker, cfg),
+            "ack": [list(key) for key in sorted(worker.acks)],
+        }
+        effects.append(RenewWorker(worker.id, worker.address, body))
+    return effects
+
+
+def take_report(table, worker, now, sent_at, body, keep):
+    """Take capacity and usage of a report; ``keep`` are charges not yet reported."""
+    first = worker.epoch == 0
+    worker.epoch = body["epoch"]
+    worker.clock_ms = body["clock_ms"]
+    worker.reported_at = now
+    worker.report_sent_at = sent_at
+    reported = set()
+    for item in body["running"]:
+        key = (item["task"], item["attempt"])
+        reported.add(key)
+        add_charge(table, worker, key, to_vector(item))
+        used = (item.get("used_cpu") or 0, item.get("used_memory_mb") or 0, 0)
+        set_usage(table, worker, key, used)
+    gone = [key for key in worker.charges if key not in reported and key not in keep]
+    _set_capacity(worker, to_vector(body["capacity"]))
+    drop_charges(table, worker, gone)
+    accepts = worker.member and body["state"] == "live"
+    if accepts != worker.accepts:
+        worker.accepts = accepts
+        refresh(table, worker)
+    if first:
+        # The first call only read: the lease itself follows at once.
+        worker.renew_at = now
+
+
+def _set_capacity(worker, capacity):
+    if capacity != worker.capacity:
+        change = [new - old for new, old in zip(capacity, worker.capacity, strict=True)]
+        worker.capacity = capacity
+        worker.free = type(capacity)(*map(sum, zip(worker.free, change, strict=True)))
+        worker.evictable = type(capacity)(
+            *map(sum, zip(worker.evictable, change, strict=True))
+        )
--- /dev/null
+++ b/tests/fixtures_tasks.py
@@ -0,0 +1,65 @@
+"""Fixtures of the task core's tests: small cells in virtual time."""
+
+import pytest
+
+from tools.task_replay import ModelWorker, Replay
+
+OBJECTS = [
+    {"kind": "workload", "name": "w", "type": "batch", "policy": "p", "team": "t"},
+    {"kind": "policy", "name": "p", "type": "batch"},
+]
+
+
+def make_job(job_id, tasks=1, cpu=1, memory_mb=100, **fields):
+    """Return a job record as an entry inserts it."""
+    return {
+        "id": job_id,
+        "key": None,
+        "workload": "w",
+        "type": "batch",
+        "team": "t",
+        "state": "queued",
+        "reason": None,
+        "verdict": None,
+        "tasks": [
+            {"task": f"{job_id}/{i}", "state": "queued", "attempt": 0, "epoch": 0}
+            for i in range(tasks)
+        ],
+        "demand": {"cpu": cpu, "memory_mb": memory_mb, "accelerators": 0},
+        "run": {"run_s": 5.0},
+        "submitted_ms": 0,
+        "nonce": "",
+        **fields,
+    }
+
+
+def run_declared(worker, task, attempt, body):
+    """Executions last as long as the job's ``run`` says and use what was declared."""
+    run = body["run"]
+    return run.get("run_s", 5.0), run.get("ok", True), run.get("used", {})
+
+
+def make_cell(workers=4, cpu=8, memory_mb=8000, schedulers=("s1",), **options):
+    """Return a Replay with workers in racks of two and its schedulers."""
+    capacity = {"cpu": cpu, "memory_mb": memory_mb, "accelerators": 0}
+    models = [
+        ModelWorker(f"w{i}", f"rack{i // 2}", capacity, clock_s=1000.0 * i)
+        for i in range(workers)
+    ]
+    replay = Replay(models, run_declared, **options)
+    replay.objects = OBJECTS
+    replay.version = 1
+    for name in schedulers:
+        replay.add_scheduler(name)
+    return replay
+
+
+def done_state(replay, job_id):
+    """Return the state in the job's final record, or None."""
+    row = replay.table.get(f"done/{replay.fd}/{job_id}")
+    return row.value["state"] if row.version else None
+
+
+@pytest.fixture
+def cell():
+    return make_cell()
