--- /dev/null
+++ b/tests/test_task_guarantees.py
@@ -0,0 +1,198 @@
+"""Guarantees of the task core under seeded faults.
+
+Two or three schedulers compete for one failure domain while answers are lost or late,
+processes pause, workers die and the table is down. The model worker checks nothing but
+epoch and lease.
+"""
+
+import random
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength, Not
+
+from cornelward import task_reports, task_scheduler
+from tests.fixtures_tasks import make_cell, make_job
+from tools.task_replay import Faults
+
+FAULTY_S = 80
+QUIET_S = 160
+FINAL = ("succeeded", "failed", "cancelled", "refused", "lost")
+
+
+class Watch:
+    """Collects violations of the guarantees while a cell runs."""
+
+    def __init__(self, cell):
+        self.cell = cell
+        self.violations = []
+        self.finals = {}
+        self.where = {}
+        self.runs = {}
+        cell.on_start = self.started
+        cell.on_end = self.ended
+        cell.table.on_put = self.put
+
+    def started(self, now, worker, task, attempt, body):
+        if task in self.where:
+            self.violations.append(("two places", task, self.where[task], worker.id))
+        self.where[task] = (worker.id, attempt)
+        self.runs[task] = self.runs.get(task, 0) + 1
+        for kind in ("cpu", "memory_mb"):
+            used = sum(run["demand"][kind] for run in worker.running.values())
+            if used > worker.capacity[kind]:
+                self.violations.append(("capacity", worker.id, kind, used))
+        job_id = task.split("/")[0]
+        row = self.cell.table.get(f"jobs/fd/{job_id}")
+        items = row.value["tasks"] if row.version else []
+        recorded = [
+            item
+            for item in items
+            if (item["task"], item["attempt"], item["worker"])
+            == (task, attempt, worker.id)
+            and item["state"] in ("starting", "running")
+        ]
+        if not recorded:
+            self.violations.append(("no starting row", task, attempt, worker.id))
+
+    def ended(self, now, worker, task, attempt, ok):
+        if self.where.get(task) == (worker.id, attempt):
+            del self.where[task]
+
+    def put(self, key, value):
+        if key.startswith("done/"):
+            self.finals.setdefault(value["id"], []).append(value)
+
+
+def add_jobs(cell, rng, count):
+    """Submit jobs of all types over the faulty time; cancel some."""
+    ids = []
+    for number in range(count):
+        job_type = rng.choice(["batch", "batch", "service", "gang"])
+        tasks = rng.randrange(1, 5)
+        record = make_job(
+            f"j{number}",
+            tasks=tasks,
+            cpu=rng.choice([1, 2, 4, 6]),
+            type=job_type,
+            repeatable=rng.random() < 0.8,
+            run={"run_s": rng.uniform(0.5, 12.0), "ok": rng.random() < 0.95},
+        )
+        ids.append(record["id"])
+        at = rng.uniform(1, FAULTY_S)
+        cell.at(at, lambda record=record: cell.submit(record))
+        if rng.random() < 0.15:
+            cancel_at = at + rng.uniform(0, 15)
+            cell.at(cancel_at, lambda i=record["id"]: cell.cancel(i))
+    return ids
+
+
+def add_faults(cell, rng):
+    """Schedule pauses, deaths and outages over the faulty time."""
+
+    def set_down(down):
+        cell.table.down = down
+
+    def restart(name, incarnation):
+        if name in cell.cores:
+            cell.remove_scheduler(name)
+            delay = rng.uniform(0, 10)
+            cell.at(cell.now + delay, lambda: cell.add_scheduler(name, incarnation))
+
+    for number in range(rng.randrange(4, 10)):
+        at = rng.uniform(5, FAULTY_S)
+        kind = rng.choice(["pause", "pause", "worker", "worker", "outage", "restart"])
+        length = rng.choice([0.5, 3, 6, 12, 20]) * rng.uniform(0.8, 1.2)
+        name = rng.choice(sorted(cell.cores))
+        worker = rng.choice(sorted(cell.workers))
+        if kind == "pause":
+            cell.at(at, lambda n=name, t=at + length: cell.pause(n, t))
+        elif kind == "worker":
+            cell.at(at, lambda w=worker: cell.kill(w))
+            cell.at(at + length, lambda w=worker: cell.revive(w))
+        elif kind == "outage":
+            cell.at(at, lambda: set_down(True))
+            cell.at(at + length, lambda: set_down(False))
+        else:
+            cell.at(at, lambda n=name, i=number + 2: restart(n, i))
+
+
+def run_seed(seed):
+    """Run one seeded schedule; return the cell, its watch and the job ids."""
+    rng = random.Random(seed)
+    names = ("s1", "s2", "s3")[: rng.choice([2, 3])]
+    faults = Faults(
+        lose_request=rng.choice([0, 0.02, 0.1]),
+        lose_answer=rng.choice([0, 0.02, 0.1]),
+        late=rng.choice([0, 0.05]),
+    )
+    cell = make_cell(schedulers=names, seed=seed, faults=faults)
+    watch = Watch(cell)
+    ids = add_jobs(cell, rng, 25)
+    add_faults(cell, rng)
+    cell.run(FAULTY_S)
+    cell.faults = Faults()
+    cell.run(FAULTY_S + QUIET_S)
+    return cell, watch, ids
+
+
+def unfinished(cell, watch, ids):
+    """Return jobs without exactly one final record, or with a row left over."""
+    return [
+        job_id
+        for job_id in ids
+        if len({value["nonce"] for value in watch.finals.get(job_id, ())}) != 1
+        or watch.finals[job_id][0]["state"] not in FINAL
+        or cell.table.get(f"jobs/fd/{job_id}").version
+    ]
+
+
+@pytest.mark.proof
+@pytest.mark.parametrize("seed", range(40))
+def test_guarantees_hold_under_faults(seed):
+    """Guards guarantees 1, 2 and 5 of tasks, and against jobs that never end."""
+    cell, watch, ids = run_seed(seed)
+    assert_that(watch.violations, HasLength(0))
+    assert_that(unfinished(cell, watch, ids), Equals([]))
+    records = {job_id: watch.finals[job_id][0] for job_id in ids}
+    repeated = [
+        task
+        for task, runs in watch.runs.items()
+        if runs > 1 and not records[task.split("/")[0]]["repeatable"]
+    ]
+    assert_that(repeated, HasLength(0))
+
+
+def violations_of(seeds):
+    found = [run_seed(seed)[1].violations for seed in seeds]
+    return [kind for violations in found for kind, *_ in violations]
+
+
+def test_check_fails_without_the_lapse_wait(monkeypatch):
+    """The check for two places must see restarts before the lease has expired."""
+
+    def early(worker, own, cfg):
+        return (worker.reported_at or own.owner_since) + 2.5
+
+    monkeypatch.setattr(task_reports, "lapse_at", early)
+    monkeypatch.setattr(task_scheduler, "lapse_at", early)
+    assert_that("two places" in violations_of(range(8)), Equals(True))
+
+
+def test_check_fails_without_the_epoch_gate(monkeypatch):
+    """The check must see a new owner that acts before a worker has answered it.
+
+    Without the gate, the successor takes a ``starting`` task of the former owner as not
+    started, although the worker still accepts the former owner's delayed command.
+    """
+    listed = task_scheduler.jobs_listed
+
+    def listed_without_gate(state, now, rows):
+        listed(state, now, rows)
+        for tasks in list(state.assigned.values()):
+            for task in list(tasks.values()):
+                if task.epoch < state.own.epoch and task.state == "starting":
+                    task_reports.lose(state, task, "not started")
+
+    monkeypatch.setattr(task_scheduler, "jobs_listed", listed_without_gate)
+    assert_that(violations_of(range(20)), Not(HasLength(0)))
--- a/tools/task_replay.py
+++ b/tools/task_replay.py
@@ -46,6 +46,7 @@
         self.rows = {}
         self.down = False
         self.operations = 0
+        self.on_put = lambda key, value: None
         self.versions = itertools.count(1)
 
     def get(self, key):
@@ -63,6 +64,7 @@
         for key in deletes:
             self.rows.pop(key, None)
         for key, value in puts:
+            self.on_put(key, value)
             self.rows[key] = (value, next(self.versions))
         return {key: self.rows[key][1] for key, _ in puts}
 
@@ -332,7 +334,10 @@
 
     def _start(self, worker, body):
         clock = worker.clock_ms(self.now)
-        if body["epoch"] < worker.epoch or body["lease_until_ms"] <= clock:
+        # A worker that restarted has no lease and refuses commands until it gets one.
+        never_leased = worker.epoch == 0
+        stale = never_leased or body["epoch"] < worker.epoch
+        if stale or body["lease_until_ms"] <= clock:
             return 409, {"epoch": worker.epoch}
         worker.epoch = body["epoch"]
         worker.lease_until_ms = max(worker.lease_until_ms, body["lease_until_ms"])
