--- a/cornelward/request_flow.py
+++ b/cornelward/request_flow.py
@@ -250,15 +250,19 @@
     if pending.key is None:
         _answer(entry, now, request_id, parts)
         return
+    stored = _to_stored(parts)
+    effects = keyed.finished(entry.keyed, now, pending.key, verdict, stored)
+    _carry_out_keyed(entry, effects)
+
+
+def _to_stored(parts):
     status, body, content_type, headers = parts
-    stored = {
+    return {
         "status": status,
         "content_type": content_type,
         "headers": [list(item) for item in headers],
         "body": base64.b64encode(body).decode("ascii"),
     }
-    effects = keyed.finished(entry.keyed, now, pending.key, verdict, stored)
-    _carry_out_keyed(entry, effects)
 
 
 def _answer(entry, now, request_id, parts):
@@ -329,8 +333,9 @@
         pending.submitted = True
         _submit(entry, now, effect.request_id, pending)
         return
-    # The caller's deadline passed before the key was recorded.
-    effects = keyed.finished(entry.keyed, now, effect.key, Verdict.NOT_RUN, None)
+    text = "the key was not recorded in time"
+    stored = _to_stored(_refusal(DEADLINE_EXCEEDED, text, Verdict.NOT_RUN, None))
+    effects = keyed.finished(entry.keyed, now, effect.key, Verdict.NOT_RUN, stored)
     _carry_out_keyed(entry, effects)
 
 
--- /dev/null
+++ b/tests/test_keyed.py
@@ -0,0 +1,263 @@
+"""Guards against running a request twice that must not be repeated."""
+
+import random
+
+import pytest
+from fixtures_simulation import Simulation
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+from cornelward import router
+
+SCHEDULES = 2_000
+ROUTER_SCHEDULES = 60
+
+
+@pytest.fixture
+def sim():
+    return Simulation(1, entries=2)
+
+
+def verdicts(sim, request_id):
+    return [answer[2] for answer in sim.answers[request_id]]
+
+
+def key_runs(sim, prefix=""):
+    return sum(
+        count for name, count in sim.records().items() if name.startswith(prefix)
+    )
+
+
+def row(sim, key):
+    found = []
+    sim.entries[-1].platform.get(f"requests/quotes/{key}", found.append)
+    sim.clock.advance(3.0)
+    return found[0].value if found[0].version else None
+
+
+def test_second_caller_gets_the_stored_answer(sim):
+    sim.ask(sim.entries[0], "a", "book", "k")
+    sim.clock.advance(3.0)
+    for entry in sim.entries:
+        sim.ask(entry, f"b-{entry.identity.id}", "book", "k")
+    sim.clock.advance(3.0)
+    for name in ("a", "b-e0", "b-e1"):
+        assert_that(sim.answers[name][0], Equals((200, b"k", "RAN")))
+    assert_that(key_runs(sim), Equals(1))
+
+
+def test_two_entries_at_once_run_it_once(sim):
+    for name in sim.executors:
+        sim.control(name, "/switch", {"slow_ms": 1_500})
+    for entry in sim.entries:
+        for number in range(2):
+            name = f"{entry.identity.id}-{number}"
+            sim.ask(entry, name, "book", "k", timeout_ms=10_000)
+    sim.clock.advance(8.0)
+    assert_that(key_runs(sim), Equals(1))
+    told = sorted(verdicts(sim, f"e{n}-{m}")[0] for n in (0, 1) for m in (0, 1))
+    assert_that(told, Equals(["MAY_HAVE_RUN"] * 2 + ["RAN"] * 2))
+
+
+def test_same_key_for_another_request_is_refused(sim):
+    sim.ask(sim.entries[0], "a", "book", "k")
+    sim.clock.advance(3.0)
+    sim.entries[0].operations["quotes", "hold"] = sim.entries[0].operations[
+        "quotes", "book"
+    ]
+    sim.ask(sim.entries[0], "b", "hold", "k")
+    sim.clock.advance(3.0)
+    assert_that(sim.answers["b"][0][0], Equals(409))
+    assert_that(verdicts(sim, "b"), Equals(["NOT_RUN"]))
+
+
+def test_lost_answer_of_the_insert_runs_it_once(sim):
+    sim.control("platform", "/switch", {"lose_answers": 1})
+    sim.ask(sim.entries[0], "a", "book", "k", timeout_ms=10_000)
+    sim.clock.advance(8.0)
+    assert_that(verdicts(sim, "a"), Equals(["RAN"]))
+    assert_that(key_runs(sim), Equals(1))
+
+
+def test_insert_that_cannot_be_read_back_is_refused_and_released(sim):
+    sim.control("platform", "/switch", {"lose_answers": 1})
+    sim.ask(sim.entries[0], "a", "book", "k", timeout_ms=10_000)
+    sim.clock.advance(1.0)
+    sim.control("platform", "/switch", {"down": True})
+    sim.clock.advance(5.0)
+    assert_that(verdicts(sim, "a"), Equals(["NOT_RUN"]))
+    sim.control("platform", "/switch", {"down": False})
+    sim.clock.advance(5.0)
+    assert_that(row(sim, "k")["state"], Equals("not_run"))
+    sim.ask(sim.entries[1], "b", "book", "k")
+    sim.clock.advance(3.0)
+    assert_that(verdicts(sim, "b"), Equals(["RAN"]))
+    assert_that(sim.records(), Equals({"b": 1}))
+
+
+def test_table_down_before_dispatch_refuses_as_not_run(sim):
+    sim.control("platform", "/switch", {"down": True})
+    sim.ask(sim.entries[0], "a", "book", "k")
+    sim.clock.advance(3.0)
+    assert_that(verdicts(sim, "a"), Equals(["NOT_RUN"]))
+    assert_that(key_runs(sim), Equals(0))
+
+
+def test_table_down_after_dispatch_answers_and_stores_later(sim):
+    for name in sim.executors:
+        sim.control(name, "/switch", {"slow_ms": 1_500})
+    sim.ask(sim.entries[0], "a", "book", "k", timeout_ms=10_000)
+    sim.clock.advance(1.4)
+    sim.control("platform", "/switch", {"down": True})
+    sim.clock.advance(3.0)
+    assert_that(verdicts(sim, "a"), Equals(["RAN"]))
+    sim.control("platform", "/switch", {"down": False})
+    sim.clock.advance(4.0)
+    sim.ask(sim.entries[1], "b", "book", "k")
+    sim.clock.advance(3.0)
+    assert_that(verdicts(sim, "b"), Equals(["RAN"]))
+    assert_that(key_runs(sim), Equals(1))
+
+
+def test_key_of_a_dead_holder_answers_may_have_run(sim):
+    for name in sim.executors:
+        sim.control(name, "/switch", {"slow_ms": 1_000})
+    sim.ask(sim.entries[0], "a", "book", "k")
+    sim.clock.advance(0.9)
+    sim.entries[0].loop.dead = True
+    sim.start_entry("e0")
+    sim.clock.advance(3.0)
+    for entry in sim.entries:
+        sim.ask(entry, f"b-{entry.identity.id}", "book", "k")
+    sim.clock.advance(3.0)
+    assert_that(verdicts(sim, "b-e0"), Equals(["MAY_HAVE_RUN"]))
+    assert_that(verdicts(sim, "b-e1"), Equals(["MAY_HAVE_RUN"]))
+    assert_that(key_runs(sim), Equals(1))
+
+
+def test_refused_request_frees_its_key():
+    # The real router ends the retries by its budget.
+    sim = Simulation(1, entries=2, core=router)
+    for name in sim.executors:
+        sim.control(name, "/switch", {"refuse": True})
+    sim.ask(sim.entries[0], "a", "book", "k", timeout_ms=10_000)
+    sim.clock.advance(12.0)
+    assert_that(verdicts(sim, "a"), Equals(["NOT_RUN"]))
+    for name in sim.executors:
+        sim.control(name, "/switch", {"refuse": False})
+    sim.ask(sim.entries[1], "b", "book", "k")
+    sim.clock.advance(3.0)
+    assert_that(verdicts(sim, "b"), Equals(["RAN"]))
+
+
+def disturb(sim, rng):
+    """Change platform, executors and entries at random."""
+    sim.network.faults["platform"] = {
+        "refused": rng.choice((0.0, 0.3)),
+        "cut": rng.choice((0.0, 0.2)),
+        "lost": rng.choice((0.0, 0.4)),
+    }
+    slow_ms = rng.choice((0, 0, 100, 3_000))
+    down = rng.random() < 0.2
+    sim.control("platform", "/switch", {"slow_ms": slow_ms, "down": down})
+    for name in sim.executors:
+        sim.network.faults[name] = {
+            "refused": rng.choice((0.0, 0.3)),
+            "lost": rng.choice((0.0, 0.2)),
+        }
+        changes = {"refuse": rng.random() < 0.2, "slow_ms": rng.choice((0, 50, 1_000))}
+        sim.control(name, "/switch", changes)
+    entry = rng.choice(sim.entries)
+    if rng.random() < 0.3:
+        entry.loop.dead = True
+        sim.start_entry(entry.identity.id)
+    elif rng.random() < 0.3:
+        entry.loop.paused_until = sim.clock.time + rng.choice((1.0, 4.0))
+
+
+def calm(sim):
+    """End all misbehaviour and let retries finish."""
+    sim.network.faults.clear()
+    sim.control("platform", "/switch", {"slow_ms": 0, "down": False})
+    for name in sim.executors:
+        sim.control(name, "/switch", {"refuse": False, "slow_ms": 0})
+    sim.clock.advance(20.0)
+
+
+def run_schedule(seed, core=None, requests=16, keys=4):
+    """Callers use a few keys at random entries; returns (sim, key of each request)."""
+    rng = random.Random(seed)
+    sim = Simulation(seed, entries=2, core=core)
+    asked = {}
+    for number in range(requests):
+        if rng.random() < 0.4:
+            disturb(sim, rng)
+        key = f"k{rng.randrange(keys)}"
+        request_id = f"r{number}"
+        asked[request_id] = key
+        timeout_ms = rng.choice((200, 2_000, 8_000))
+        sim.ask(rng.choice(sim.entries), request_id, "book", key, timeout_ms)
+        sim.clock.advance(rng.choice((0.0, 0.005, 0.4, 2.0)))
+    calm(sim)
+    for key in sorted(set(asked.values())):
+        for entry in sim.entries:
+            request_id = f"last-{key}-{entry.identity.id}"
+            asked[request_id] = key
+            sim.ask(entry, request_id, "book", key)
+            sim.clock.advance(3.0)
+    return sim, asked
+
+
+def check_schedule(sim, asked):
+    """Check every answer against the record and the other answers; returns verdicts."""
+    ran = sim.records()
+    runs = dict.fromkeys(asked.values(), 0)
+    for request_id, count in ran.items():
+        runs[asked[request_id]] += count
+    told = []
+    for request_id, key in asked.items():
+        assert runs[key] <= 1, (key, ran)
+        answers = sim.answers[request_id]
+        assert len(answers) <= 1, request_id
+        if not answers:
+            # Its entry died.
+            continue
+        status, body, verdict = answers[0]
+        if verdict == "NOT_RUN":
+            assert_that(ran.get(request_id, 0), Equals(0), request_id)
+        if verdict == "RAN":
+            assert_that((status, body), Equals((200, key.encode())), request_id)
+            assert_that(runs[key], Equals(1), request_id)
+        told.append(verdict)
+    for entry in sim.entries:
+        assert_that(entry.calls, HasLength(0))
+        assert_that(entry.keyed.by_key, HasLength(0))
+    return told
+
+
+@pytest.mark.proof
+def test_keys_run_at_most_once_over_seeded_schedules():
+    """Guarantee 5 with two entries, deaths, pauses, and a faulty table."""
+    told = []
+    for seed in range(SCHEDULES):
+        told += check_schedule(*run_schedule(seed))
+    for verdict in ("RAN", "NOT_RUN", "MAY_HAVE_RUN"):
+        assert told.count(verdict) > SCHEDULES, verdict
+
+
+@pytest.mark.proof
+def test_keys_run_at_most_once_through_the_real_router():
+    """The same with slots that are owned and borrowed."""
+    told = []
+    for seed in range(ROUTER_SCHEDULES):
+        told += check_schedule(*run_schedule(seed, router))
+    assert told.count("RAN") > ROUTER_SCHEDULES
+
+
+@pytest.mark.proof
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.integers(0, 2**32), st.integers(1, 3), st.integers(1, 24))
+def test_keys_run_at_most_once_for_any_mix_of_callers(seed, keys, requests):
+    check_schedule(*run_schedule(seed, None, requests, keys))
