--- a/tests/fixtures_entry.py
+++ b/tests/fixtures_entry.py
@@ -186,6 +186,8 @@
         handle, on_ready = module.build(self.loop, cfg)
         server = HttpServer(self.loop, ("127.0.0.1", 0), handle)
         self.servers.append(server)
+        # A server that never got its poller cannot be closed.
+        self.until(lambda: server.server._poller is not None)
         on_ready(server.address)
         return server.address
 
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -9,7 +9,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from cornelward import router
+from cornelward import keyed, router
+from cornelward.errors import PlatformError
+from cornelward.platform_client import Row
+from cornelward.verdicts import Verdict
 
 SCHEDULES = 2_000
 ROUTER_SCHEDULES = 60
@@ -261,3 +264,20 @@
 @given(st.integers(0, 2**32), st.integers(1, 3), st.integers(1, 24))
 def test_keys_run_at_most_once_for_any_mix_of_callers(seed, keys, requests):
     check_schedule(*run_schedule(seed, None, requests, keys))
+
+
+def test_released_key_is_fenced_against_a_delayed_insert():
+    # Without the row, an insert that arrives later would block the key for ever.
+    table = keyed.KeyedTable("e1")
+    unknown = PlatformError("timeout", applied=None)
+    effects = keyed.begin(table, 0.0, "k", "r", "digest", "nonce")
+    while isinstance(effects[0], keyed.WriteRow):
+        assert_that(effects[0].version, Equals(0))
+        effects = keyed.written(table, 0.0, "k", "nonce", unknown)
+        effects = keyed.row_read(table, 0.0, "k", "nonce", Row("k", None, 0))
+    assert_that(effects[0].verdict, Equals(Verdict.NOT_RUN))
+    keyed.tick(table, 5.0)
+    (write,) = keyed.row_read(table, 5.0, "k", "nonce", Row("k", None, 0))
+    assert_that((write.version, write.value["state"]), Equals((0, "not_run")))
+    keyed.written(table, 5.0, "k", "nonce", {"k": 1})
+    assert_that(table.by_key, HasLength(0))
