Prove the slot limit with several routers under faults

A world in virtual time drives routers with lost, delayed, duplicated and reordered messages, pauses, deaths, joins, isolated entries and table outages.

--- a/cornelward/borrowing.py
+++ b/cornelward/borrowing.py
@@ -13,7 +13,9 @@
 
 __all__ = [
     "Lease",
+    "balance",
     "borrow",
+    "free_now",
     "on_grant",
     "on_heartbeat_credits",
     "on_request",
@@ -226,7 +228,7 @@
     executor = state.slots.credits[credit_id].executor
     service = state.services.get(executor.service)
     max_run_s = service.policy.max_run_s if service else 0.0
-    slots.return_credit(state.slots, credit_id, now + max_run_s)
+    slots.return_credit(state.slots, credit_id, (now, now + max_run_s))
 
 
 def orphan_credits_of_gone(state, now):
@@ -253,3 +255,14 @@
     if not views.has_authority(state.view, now):
         return 0
     return state.slots.free.get((service_name, SHORT), 0)
+
+
+def balance(state, now, service):
+    """Borrow, lend and return slots after a change; returns effects."""
+    effects = []
+    if service.queues[SHORT].count or service.queues[LONG].count:
+        effects += borrow(state, now, service)
+    if state.demands:
+        effects += serve_demand(state, now, service)
+    effects += return_unused(state, now, service)
+    return effects
--- a/cornelward/catalog.py
+++ b/cornelward/catalog.py
@@ -3,7 +3,7 @@
 from . import errors, routing, slots, views
 from .queues import Policy, Service, parse_policy
 
-__all__ = ["assign_executors", "update_executors", "update_services"]
+__all__ = ["assign_executors", "refresh_claims", "update_executors", "update_services"]
 
 
 def assign_executors(state):
@@ -122,3 +122,13 @@
                     )
                 )
     return effects
+
+
+def refresh_claims(state):
+    """Set when the executors that moved here may be asked for their health."""
+    if all(executor.ready for executor in state.slots.owned.values()):
+        return
+    claim_at = views.claim_time(state.view)
+    for executor in state.slots.owned.values():
+        if not executor.ready:
+            executor.claim_at = claim_at
--- a/cornelward/router.py
+++ b/cornelward/router.py
@@ -139,7 +139,7 @@
     cls = class_of(state.classes, request.service, request.operation)
     work = Work(request, service, cls, now)
     effects = routing.admit(state, now, work)
-    return effects + _balance(state, now, service)
+    return effects + borrowing.balance(state, now, service)
 
 
 def complete(state, now, request_id, outcome):
@@ -151,7 +151,7 @@
     if work is None or work.state not in (routing.RUNNING, routing.FORWARDED):
         return False, []
     retried, effects = routing.finish(state, now, work, outcome)
-    effects += _balance(state, now, work.service)
+    effects += borrowing.balance(state, now, work.service)
     return retried, effects + _depart(state, now)
 
 
@@ -161,18 +161,9 @@
 
 
 def _run_service(state, now, service):
-    return routing.dispatch(state, now, service) + _balance(state, now, service)
-
-
-def _balance(state, now, service):
-    """Borrow, lend and return slots after a change; returns effects."""
-    effects = []
-    if service.queues["short"].count or service.queues["long"].count:
-        effects += borrowing.borrow(state, now, service)
-    if state.demands:
-        effects += borrowing.serve_demand(state, now, service)
-    effects += borrowing.return_unused(state, now, service)
-    return effects
+    return routing.dispatch(state, now, service) + borrowing.balance(
+        state, now, service
+    )
 
 
 # Messages
@@ -197,13 +188,13 @@
         key = envelope.sender, service
         state.peer_free[key] = message.free_slots.get(service, 0)
     borrowing.on_heartbeat_credits(state, now, envelope)
-    _refresh_claims(state)
+    catalog.refresh_claims(state)
     return effects
 
 
 def _on_ack(state, now, envelope):
     views.on_ack(state.view, now, envelope)
-    _refresh_claims(state)
+    catalog.refresh_claims(state)
     return []
 
 
@@ -218,7 +209,7 @@
 
 def _on_leaving(state, now, envelope):
     effects = views.on_leaving(state.view, now, envelope)
-    _refresh_claims(state)
+    catalog.refresh_claims(state)
     return effects
 
 
@@ -276,6 +267,9 @@
 
 
 def _reconcile(state, now):
+    if state.pending_write is not None:
+        # Its result could not be told from that of a second write.
+        return []
     write = views.reconcile(state.view, now)
     if write is None:
         return []
@@ -288,22 +282,7 @@
     catalog.assign_executors(state)
     borrowing.orphan_credits_of_gone(state, now)
     state.heartbeat_at = now
-    announce = views.announcement(state.view)
-    return _send_to_members(state, announce)
-
-
-def _send_to_members(state, message):
-    members = state.view.members
-    return [SendMessage(members[peer][0], message) for peer in views.others(state.view)]
-
-
-def _refresh_claims(state):
-    if all(executor.ready for executor in state.slots.owned.values()):
-        return
-    claim_at = views.claim_time(state.view)
-    for executor in state.slots.owned.values():
-        if not executor.ready:
-            executor.claim_at = claim_at
+    return views.to_members(state.view, views.announcement(state.view))
 
 
 # Platform
@@ -346,7 +325,7 @@
         effects.append(ReadView())
     if now >= state.heartbeat_at:
         effects += _heartbeats(state, now)
-    _refresh_claims(state)
+    catalog.refresh_claims(state)
     for executor in state.slots.owned.values():
         slots.expire_orphans(state.slots, executor, now)
     borrowing.orphan_credits_of_gone(state, now)
@@ -378,7 +357,7 @@
         {name: borrowing.free_now(state, now, name) for name in state.services},
         list(state.credits_in_use),
     )
-    return _send_to_members(state, message)
+    return views.to_members(state.view, message)
 
 
 def _queued(service):
@@ -387,7 +366,12 @@
 
 def next_wakeup(state):
     """Return when ``tick`` has to run next, in monotonic seconds."""
-    return min(state.heartbeat_at, state.read_at)
+    claims = [
+        max(executor.claim_at, executor.probe_at)
+        for executor in state.slots.owned.values()
+        if not executor.ready and executor.claim_at is not None
+    ]
+    return min(state.heartbeat_at, state.read_at, *claims)
 
 
 # Shutdown
@@ -409,5 +393,5 @@
         return []
     state.announced = True
     views.departure(state.view)
-    effects = _send_to_members(state, Leaving(state.view.epoch))
+    effects = views.to_members(state.view, Leaving(state.view.epoch))
     return effects + _reconcile(state, now)
--- a/cornelward/router_dump.py
+++ b/cornelward/router_dump.py
@@ -33,7 +33,7 @@
                 "signal": executor.signal,
                 "running": len(executor.runs),
                 "credits": len(executor.credits),
-                "orphans": executor.orphans,
+                "orphans": len(executor.orphans),
             }
             for executor in state.slots.executors.values()
         },
--- a/cornelward/routing.py
+++ b/cornelward/routing.py
@@ -260,34 +260,30 @@
     service, executor = work.service, work.executor
     queue = service.queues[work.cls]
     queue.running -= 1
-    orphaned_until = None
+    orphan = None
     if outcome.verdict is Verdict.MAY_HAVE_RUN:
-        orphaned_until = now + service.policy.max_run_s
-    _note_signal(state, executor, outcome)
+        orphan = now, now + service.policy.max_run_s
+    _note_signal(state, now, executor, outcome)
     if work.credit is not None:
-        _end_credit(state, now, work, orphaned_until)
+        _end_credit(state, now, work, orphan)
     else:
-        slots.end_run(state.slots, executor, work.request.request_id, orphaned_until)
+        slots.end_run(state.slots, executor, work.request.request_id, orphan)
     if outcome.verdict is Verdict.RAN:
         _observe(state, work, outcome.run_s or now - work.started_at)
 
 
-def _note_signal(state, executor, outcome):
-    if outcome.leaving:
-        executor.signal = "leaving"
-    elif outcome.error is not None:
-        executor.signal = "down"
-    else:
-        return
-    executor.probe_at = 0.0
-    slots.update_index(state.slots, executor)
+def _note_signal(state, now, executor, outcome):
+    if outcome.leaving or outcome.error is not None:
+        signal = "leaving" if outcome.leaving else "down"
+        slots.note_signal(state.slots, executor, signal, now)
+        executor.probe_at = 0.0
 
 
-def _end_credit(state, now, work, orphaned_until):
+def _end_credit(state, now, work, orphan):
     lease = work.credit
     work.credit = None
     state.credits_in_use.pop(lease.credit.credit_id, None)
-    if orphaned_until is not None:
+    if orphan is not None:
         # Neither returned nor reported: the owner counts the slot as an orphan.
         return
     if now < lease.usable_until and work.service.queues[work.cls].count:
--- a/cornelward/slots.py
+++ b/cornelward/slots.py
@@ -15,7 +15,6 @@
     "Probe",
     "SlotTable",
     "add_executor",
-    "add_orphans",
     "apply_health",
     "best_executor",
     "claim",
@@ -25,6 +24,7 @@
     "free_slots",
     "grant",
     "mark_long",
+    "note_signal",
     "remove_executor",
     "return_credit",
     "start_run",
@@ -56,7 +56,6 @@
         "listed",
         "long",
         "orphans",
-        "orphans_until",
         "owned",
         "probe_at",
         "ready",
@@ -64,6 +63,7 @@
         "runs",
         "service",
         "signal",
+        "signal_at",
         "slots",
     )
 
@@ -74,12 +74,13 @@
         self.slots = slots
         self.listed = "live"
         self.signal = "live"
+        self.signal_at = float("-inf")
         self.owned = False
         self.ready = False
         self.claim_at = None
         self.probe_at = 0.0
-        self.orphans = 0
-        self.orphans_until = 0.0
+        # (since, until) of each orphaned slot, oldest first.
+        self.orphans = []
         self.reserved = 0
         # Request id to start time; credit id to CreditState.
         self.runs = {}
@@ -127,11 +128,11 @@
     )
     if not usable:
         return 0
-    used = len(executor.runs) + len(executor.credits) + executor.orphans
+    used = len(executor.runs) + len(executor.credits) + len(executor.orphans)
     free = executor.slots - used
     if cls == LONG:
         limit = executor.slots - min(executor.reserved, executor.slots - 1)
-        free = min(free, limit - len(executor.long) - executor.orphans)
+        free = min(free, limit - len(executor.long) - len(executor.orphans))
     return max(free, 0)
 
 
@@ -207,7 +208,7 @@
     else:
         table.owned.pop(executor.id, None)
         # Whoever is the owner now counts these slots by /health.
-        executor.orphans = 0
+        executor.orphans = []
         for credit_id in list(executor.credits):
             return_credit(table, credit_id)
     update_index(table, executor)
@@ -221,13 +222,17 @@
     update_index(table, executor)
 
 
-def end_run(table, executor, request_id, orphaned_until=None):
-    """Free a request's slot, or keep it as an orphan until a time at the latest."""
+def end_run(table, executor, request_id, orphan=None):
+    """Free a request's slot, or keep it as an orphan, given as (since, until)."""
     if executor.runs.pop(request_id, None) is None:
         return
     executor.long.discard(request_id)
-    if orphaned_until is not None:
-        add_orphans(executor, 1, orphaned_until)
+    _free_or_orphan(table, executor, orphan)
+
+
+def _free_or_orphan(table, executor, orphan):
+    if orphan is not None:
+        executor.orphans.append(orphan)
     update_index(table, executor)
 
 
@@ -238,16 +243,10 @@
         update_index(table, executor)
 
 
-def add_orphans(executor, count, until):
-    """Add slots that something unknown may still use."""
-    executor.orphans += count
-    executor.orphans_until = max(executor.orphans_until, until)
-
-
 def expire_orphans(table, executor, now):
     """Free orphaned slots whose longest run time has passed."""
-    if executor.orphans and executor.ready and now >= executor.orphans_until:
-        executor.orphans = 0
+    if executor.orphans and executor.ready:
+        executor.orphans = [item for item in executor.orphans if now < item[1]]
         update_index(table, executor)
 
 
@@ -269,48 +268,56 @@
     return credits
 
 
-def return_credit(table, credit_id, orphaned_until=None):
-    """Free a credit's slot, or keep it as an orphan until a time at the latest."""
+def return_credit(table, credit_id, orphan=None):
+    """Free a credit's slot, or keep it as an orphan, given as (since, until)."""
     state = table.credits.pop(credit_id, None)
     if state is None:
         return None
     executor = state.executor
     executor.credits.pop(credit_id, None)
     executor.long.discard(credit_id)
-    if orphaned_until is not None:
-        add_orphans(executor, 1, orphaned_until)
-    update_index(table, executor)
+    _free_or_orphan(table, executor, orphan)
     return executor
 
 
+def note_signal(table, executor, signal, at):
+    """Record what the executor showed of itself; an older sign changes nothing."""
+    if at >= executor.signal_at:
+        executor.signal = signal
+        executor.signal_at = at
+        update_index(table, executor)
+
+
 def apply_health(table, executor, sent_at, report, orphaned_until):
     """Take in the answer of ``/health`` (None when there was none).
 
     Orphans are what the executor runs beyond the uses known to have reached it
     before the question: a use started within LEASE_MARGIN_S may still be on its way.
+    An answer says nothing of orphans that are younger than the question.
     """
+    note_signal(table, executor, "down" if report is None else report["state"], sent_at)
     if report is None:
-        executor.signal = "down"
-        update_index(table, executor)
         return
-    executor.signal = report["state"]
     before = sent_at - LEASE_MARGIN_S
-    known = sum(1 for started in executor.runs.values() if started < before)
-    known += sum(
-        1
-        for credit in executor.credits.values()
-        if credit.in_use_at is not None and credit.in_use_at < before
-    )
-    unknown = max(0, report["in_flight"] - known)
+    unknown = max(0, report["in_flight"] - _known_uses(executor, before))
     if executor.ready:
-        executor.orphans = min(executor.orphans, unknown)
+        old = sum(1 for since, _ in executor.orphans if since < before)
+        del executor.orphans[: max(0, old - unknown)]
     elif executor.claim_at is not None and sent_at >= executor.claim_at:
         executor.ready = executor.owned
-        executor.orphans = unknown
-        executor.orphans_until = orphaned_until
+        executor.orphans = [(sent_at, orphaned_until)] * unknown
     update_index(table, executor)
 
 
+def _known_uses(executor, before):
+    runs = sum(1 for started in executor.runs.values() if started < before)
+    return runs + sum(
+        1
+        for credit in executor.credits.values()
+        if credit.in_use_at is not None and credit.in_use_at < before
+    )
+
+
 def due_probes(table, now, poll_s):
     """Return Probe effects for owned executors whose health is due."""
     probes = []
--- a/cornelward/views.py
+++ b/cornelward/views.py
@@ -12,6 +12,7 @@
 from .messages import HeartbeatAck, ViewAnnounce
 from .platform_client import Conflict
 from .slots import LEASE_MARGIN_S
+from .view_rows import parse_row, row_value
 
 __all__ = [
     "CREDIT_TTL_S",
@@ -35,6 +36,7 @@
     "reconcile",
     "refresh_authority",
     "skip_pause",
+    "to_members",
 ]
 
 # Credits are short-lived so that a moved executor is soon free of them.
@@ -63,20 +65,11 @@
     message: object
 
 
-class ViewRow(NamedTuple):
-    """The row ``views/<fd>`` as read or written last."""
-
-    epoch: int
-    version: int
-    members: dict
-    dropped: bool
-
-
 class View:
     """The adopted view and what is known of its members.
 
-    ``members`` maps entry id to (address, incarnation). ``predecessors`` are the
-    members of the view before this entry joined that may not know of it.
+    ``members`` maps entry id to (address, incarnation). ``dropped`` is as in the row
+    and ``joins`` maps its joins to when they were first seen; None is unknown.
     """
 
     def __init__(self, identity, lease_s, isolated_s):
@@ -90,7 +83,6 @@
         self.dropped = None
         self.row = None
         self.row_at = NEVER
-        self.writing_until = NEVER
         self.authority_until = NEVER
         self.table_until = NEVER
         self.alone_until = NEVER
@@ -100,9 +92,7 @@
         # Entry id to (incarnation, epoch, first time heard at that epoch or above).
         self.confirmed = {}
         self.left = set()
-        self.predecessors = {}
-        self.joined_at = NEVER
-        self.join_epoch = None
+        self.joins = {}
         self.leaving = False
 
 
@@ -148,41 +138,42 @@
     view.authority_until = max(view.table_until, granted)
 
 
-def adopt(view, now, epoch, members, dropped=None):
+def adopt(view, now, epoch, members):
     """Adopt a newer view; returns whether it was newer.
 
-    ``dropped`` says whether the row tells of entries that were removed while silent
-    and whose authority may not have ended; None is unknown.
+    What the row tells of dropped entries and joins is unknown until it is read.
     """
     if epoch <= view.epoch:
         return False
-    was_member = is_member(view)
     old = view.members
-    view.continuous = was_member and epoch == view.epoch + 1
+    view.continuous = is_member(view) and epoch == view.epoch + 1
     view.epoch = epoch
     view.members = {entry: tuple(value) for entry, value in members.items()}
-    view.dropped = dropped
+    view.dropped = None
     view.adopted_at = now
     view.acks.clear()
     view.table_until = view.alone_until = NEVER
+    # An entry that was not in the last view was itself out of contact, perhaps.
     view.heard = {
-        entry: view.heard.get(entry, now) if old.get(entry) == member else now
+        entry: view.heard[entry]
+        if view.continuous and old.get(entry) == member
+        else now
         for entry, member in view.members.items()
     }
-    if is_member(view) and not was_member:
-        view.join_epoch = epoch
-        view.joined_at = now
-        if view.row is not None and view.row.epoch < epoch:
-            old = view.row.members
-        view.predecessors = {
-            entry: member[1]
-            for entry, member in old.items()
-            if entry != view.identity.id
-        }
     refresh_authority(view, now)
     return True
 
 
+def _learn_row(view, now, row):
+    """Take in a row that was read or written."""
+    if view.row is None or row.version >= view.row.version:
+        view.row = row
+        view.row_at = now
+    if row.epoch == view.epoch:
+        view.dropped = row.dropped
+        view.joins = {join: view.joins.get(join, now) for join in row.joins}
+
+
 def _confirm(view, now, sender, incarnation, epoch):
     view.heard[sender] = now
     known = view.confirmed.get(sender)
@@ -228,16 +219,27 @@
 
 
 def _isolation_end(view):
-    """Return until when members from before the join may act without knowing of it.
+    """Return until when entries from before a join may act without knowing of it.
 
     They need one another's acknowledgements, so one that knows is enough.
     """
-    if not view.predecessors:
-        return NEVER
-    for entry, incarnation in view.predecessors.items():
-        if _stopped_at(view, entry, incarnation, view.join_epoch) is not None:
-            return NEVER
-    return view.joined_at + view.isolated_s
+    if view.dropped is None:
+        return view.adopted_at + view.isolated_s
+    seen = [at for join, at in view.joins.items() if not _is_known(view, join)]
+    return max(seen, default=NEVER) + view.isolated_s
+
+
+def _is_known(view, join):
+    epoch, members = join
+    return any(
+        _stopped_at(view, entry, incarnation, epoch) is not None
+        for entry, incarnation in members
+    )
+
+
+def to_members(view, message):
+    """Return SendMessage effects to all other members."""
+    return [SendMessage(view.members[peer][0], message) for peer in others(view)]
 
 
 def announcement(view):
@@ -289,43 +291,28 @@
         refresh_authority(view, now)
         return False
     view.must_read = False
-    read = _parse_row(row.value if row.version else None, row.version)
+    read = parse_row(row.value if row.version else None, row.version)
     if view.row is not None and read.version < view.row.version:
         return False
     adopted = False
     if is_member(view) or view.identity.id in read.members:
-        adopted = adopt(view, now, read.epoch, read.members, read.dropped)
-    view.row = read
-    view.row_at = now
+        adopted = adopt(view, now, read.epoch, read.members)
+    _learn_row(view, now, read)
     if read.epoch == view.epoch:
-        view.dropped = read.dropped
         view.table_until = max(view.table_until, sent_at + view.lease_s)
         view.alone_until = NEVER
     refresh_authority(view, now)
     return adopted
 
 
-def _parse_row(value, version):
-    if value is None:
-        return ViewRow(0, version, {}, False)
-    members = {
-        entry: (member["address"], member["incarnation"])
-        for entry, member in value["members"].items()
-    }
-    return ViewRow(value["epoch"], version, members, value.get("dropped", False))
-
-
 def on_written(view, now, sent_at, result, value):
     """Handle the result of a write; returns (adopted, effects)."""
-    view.writing_until = NEVER
     if result is None or isinstance(result, Conflict):
         return False, [ReadView()]
-    row = _parse_row(value, result)
-    adopted = adopt(view, now, row.epoch, row.members, row.dropped)
-    view.row = row
-    view.row_at = now
+    row = parse_row(value, result)
+    adopted = adopt(view, now, row.epoch, row.members)
+    _learn_row(view, now, row)
     if view.epoch == row.epoch:
-        view.dropped = row.dropped
         view.table_until = max(view.table_until, sent_at + view.lease_s)
     refresh_authority(view, now)
     return adopted, []
@@ -334,7 +321,7 @@
 def reconcile(view, now):
     """Return a WriteView if the row lacks this entry or holds a silent one, or None."""
     row = view.row
-    if row is None or now < view.writing_until or now - view.row_at > view.lease_s:
+    if row is None or now - view.row_at > view.lease_s:
         return None
     if row.epoch < view.epoch:
         return None
@@ -355,9 +342,19 @@
         wanted[me.id] = me.peer_address, me.incarnation
     if wanted == row.members:
         return None
-    view.writing_until = now + view.lease_s
-    dropped = bool(silent) or (row.dropped and not _is_settled(view, now, row))
-    return WriteView(row.version, _row_value(row.epoch + 1, wanted, dropped))
+    settled = _is_settled(view, now, row)
+    dropped = bool(silent) or (row.dropped and not settled)
+    joins = [] if settled else [j for j in row.joins if not _is_known(view, j)]
+    if view.identity.id in wanted and wanted[view.identity.id] not in (
+        row.members.values()
+    ):
+        before = [
+            (entry, member[1])
+            for entry, member in row.members.items()
+            if entry != view.identity.id
+        ]
+        joins += [(row.epoch + 1, before)] if before else []
+    return WriteView(row.version, row_value(row.epoch + 1, wanted, dropped, joins))
 
 
 def _is_settled(view, now, row):
@@ -365,17 +362,6 @@
     return view.epoch == row.epoch and start is not None and now >= start
 
 
-def _row_value(epoch, members, dropped):
-    return {
-        "epoch": epoch,
-        "members": {
-            entry: {"address": address, "incarnation": incarnation}
-            for entry, (address, incarnation) in members.items()
-        },
-        "dropped": dropped,
-    }
-
-
 def _is_silent(view, now, entry, member):
     if entry == view.identity.id or not is_member(view):
         return False
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,141 @@
+"""Several routers under faults: executors are never overloaded, slots never idle."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, Is
+
+from cornelward import router, views
+from tests.fixtures_router import World
+
+NAMES = ("e1", "e2", "e3", "e4")
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ("pause", "isolate", "kill", "start", "outage", "loss", "delay", "cut")
+        ),
+        st.sampled_from(NAMES),
+        st.floats(0.1, 8.0),
+    ),
+    max_size=24,
+)
+
+
+def load(world, seconds, rate=150):
+    """Submit requests to random live entries while the world runs."""
+    end = world.now + seconds
+    while world.now < end:
+        live = [name for name, node in world.nodes.items() if node.alive]
+        if live:
+            world.submit(world.rng.choice(live))
+        world.run(world.rng.expovariate(rate))
+
+
+def inject(world, fault, name, seconds):
+    """Begin a fault; those of the surroundings end after ``seconds``."""
+    node = world.nodes.get(name)
+    if fault == "start":
+        if node is None or not node.alive:
+            world.start(name)
+    elif fault in ("pause", "isolate", "kill"):
+        if node is not None and node.alive:
+            getattr(world, fault)(name, seconds)
+    else:
+        attribute, value, usual = {
+            "outage": ("table_up", False, True),
+            "loss": ("loss", 0.4, 0.0),
+            "delay": ("max_delay", 1.5, 0.02),
+            "lost_answers": ("lose_answers", 0.7, 0.0),
+            "cut": ("cut_answers", 0.7, 0.0),
+        }[fault]
+        setattr(world, attribute, value)
+        world.at(seconds, setattr, world, attribute, usual)
+
+
+def run_schedule(seed, faults):
+    """Return the world after a schedule of faults under load."""
+    world = World(seed, policy={"reserved_short_slots": 0})
+    for name in NAMES[:3]:
+        world.start(name)
+    load(world, 4)
+    for fault, name, seconds in faults:
+        inject(world, fault, name, seconds)
+        load(world, seconds / 6)
+    return world
+
+
+def random_faults(world_seed, count=40):
+    """Return a seeded schedule, for runs outside hypothesis."""
+    rng = World(world_seed).rng
+    kinds = ("pause", "isolate", "isolate", "kill", "start", "start")
+    kinds += ("outage", "loss", "delay", "cut", "lost_answers")
+    return [
+        (rng.choice(kinds), rng.choice(NAMES), rng.uniform(0.5, 8))
+        for _ in range(count)
+    ]
+
+
+def settle(world):
+    """End all faults and let the entries agree."""
+    world.table_up, world.loss, world.max_delay = True, 0.0, 0.02
+    world.lose_answers = world.cut_answers = 0.0
+    for node in world.nodes.values():
+        node.resume_at = node.isolated_until = 0.0
+    if not any(node.alive for node in world.nodes.values()):
+        world.start("e1")
+    world.run(60)
+
+
+@pytest.mark.proof
+@settings(derandomize=True, deadline=None, max_examples=40)
+@given(st.integers(0, 2**32), FAULTS)
+def test_no_executor_gets_more_than_its_slots(seed, faults):
+    """Guards against two entries using the same slot, and refusing what was sent."""
+    world = run_schedule(seed, faults)
+    assert_that(world.violations, Equals([]))
+
+
+@pytest.mark.proof
+@pytest.mark.parametrize("seed", range(8))
+def test_slots_do_not_idle_once_messages_flow(seed):
+    """Guards against slots that stay idle, or lost for good, while an entry queues."""
+    world = run_schedule(seed, random_faults(seed))
+    settle(world)
+    world.run_s = lambda: 5.0
+    name = next(name for name, node in world.nodes.items() if node.alive)
+    for _ in range(40):
+        world.submit(name, deadline_s=30)
+    world.run(2)
+    assert_that(world.queued(), GreaterThan(0))
+    assert_that(world.in_flight(), Equals(sum(world.slots.values())))
+    assert_that(world.violations, Equals([]))
+
+
+def test_check_fails_without_the_wait_of_a_new_owner(monkeypatch):
+    """Guards against a property test that could not notice an overload."""
+    monkeypatch.setattr(views, "claim_time", lambda view: view.adopted_at)
+    found = [
+        seed for seed in range(6) if run_schedule(seed, random_faults(seed)).violations
+    ]
+    assert_that(len(found), GreaterThan(0))
+
+
+def test_leaving_entry_finishes_its_work_and_gives_up_its_executors():
+    """Guards against requests cut off, and executors unused, at a planned stop."""
+    world = World(1)
+    for name in NAMES[:2]:
+        world.start(name)
+    load(world, 12, rate=40)
+    node = world.nodes["e1"]
+    request_id = world.submit("e1")
+    world.call(node, router.leave)
+    refused = world.submit("e1")
+    world.run(4)
+    assert_that(request_id in world.ended, Is(True))
+    assert_that([refusal.request_id for refusal in world.refused], Equals([refused]))
+    assert_that(router.is_drained(node.state), Is(True))
+    assert_that(list(world.table.value["members"]), Equals(["e2"]))
+    owned = world.nodes["e2"].state.slots.owned.values()
+    assert_that(sum(executor.ready for executor in owned), Equals(4))
+    assert_that(world.violations, Equals([]))
