--- a/cornelward/router.py
+++ b/cornelward/router.py
@@ -97,11 +97,10 @@
         self.asked = {}
         self.demands = {}
         self.peer_free = {}
-        self.peer_config = {}
         self.counts = {}
         self.seq = 0
-        self.heartbeat_at = 0.0
-        self.read_at = 0.0
+        self.heartbeat_at = float("-inf")
+        self.read_at = float("-inf")
         self.last_seen = None
         self.draining = False
         self.announced = False
--- a/cornelward/routing.py
+++ b/cornelward/routing.py
@@ -276,7 +276,7 @@
     if outcome.leaving or outcome.error is not None:
         signal = "leaving" if outcome.leaving else "down"
         slots.note_signal(state.slots, executor, signal, now)
-        executor.probe_at = 0.0
+        executor.probe_at = float("-inf")
 
 
 def _end_credit(state, now, work, orphan):
--- a/cornelward/slots.py
+++ b/cornelward/slots.py
@@ -78,7 +78,7 @@
         self.owned = False
         self.ready = False
         self.claim_at = None
-        self.probe_at = 0.0
+        self.probe_at = float("-inf")
         # (since, until) of each orphaned slot, oldest first.
         self.orphans = []
         self.reserved = 0
@@ -202,7 +202,7 @@
     executor.owned = owned
     executor.ready = False
     executor.claim_at = claim_at
-    executor.probe_at = 0.0
+    executor.probe_at = float("-inf")
     if owned:
         table.owned[executor.id] = executor
     else:
