--- a/cornelward/router.py
+++ b/cornelward/router.py
@@ -308,6 +308,8 @@
         return []
     service = state.services.get(known.service)
     max_run_s = service.policy.max_run_s if service else Policy().max_run_s
+    if report is not None and not isinstance(report.get("in_flight"), int):
+        report = None
     slots.apply_health(state.slots, known, sent_at, report, now + max_run_s)
     return [] if service is None else _run_service(state, now, service)
 
--- a/cornelward/routing.py
+++ b/cornelward/routing.py
@@ -43,6 +43,10 @@
 # was refused there.
 SPILL_WINDOW = 4
 SPILL_PAUSE_S = 1.0
+# How long a sign of leaving holds for an entry that does not own the executor.
+SIGNAL_S = 2.0
+
+NEVER = float("-inf")
 
 
 class Dispatch(NamedTuple):
@@ -71,7 +75,7 @@
 
 
 class Outcome(NamedTuple):
-    """How an attempt ended; ``error`` is set if the connection failed."""
+    """How an attempt ended; ``leaving`` stops new work until ``/health`` is live."""
 
     verdict: Verdict
     error: str | None = None
@@ -183,20 +187,19 @@
     credits = service.credits[cls]
     while credits:
         lease = credits.popleft()
-        if now < lease.usable_until and _is_usable(state, lease):
+        if now < lease.usable_until and _is_usable(state, now, lease):
             return None, lease
         state.unused.append(lease)
     return None
 
 
-def _is_usable(state, lease):
+def _is_usable(state, now, lease):
     executor = state.slots.executors.get(lease.credit.executor)
-    return (
-        executor is not None
-        and executor.listed == "live"
-        and executor.signal == "live"
-        and executor.address == lease.credit.address
-    )
+    if executor is None or executor.address != lease.credit.address:
+        return False
+    # Only owners ask for the health, so what others saw holds for a time.
+    signal_old = not executor.owned and now - executor.signal_at > SIGNAL_S
+    return executor.listed == "live" and (executor.signal == "live" or signal_old)
 
 
 def start(state, now, work, slot):
@@ -273,10 +276,9 @@
 
 
 def _note_signal(state, now, executor, outcome):
-    if outcome.leaving or outcome.error is not None:
-        signal = "leaving" if outcome.leaving else "down"
-        slots.note_signal(state.slots, executor, signal, now)
-        executor.probe_at = float("-inf")
+    if outcome.leaving:
+        slots.note_signal(state.slots, executor, "leaving", now)
+        executor.probe_at = NEVER
 
 
 def _end_credit(state, now, work, orphan):
--- a/cornelward/slots.py
+++ b/cornelward/slots.py
@@ -295,7 +295,8 @@
     before the question: a use started within LEASE_MARGIN_S may still be on its way.
     An answer says nothing of orphans that are younger than the question.
     """
-    note_signal(table, executor, "down" if report is None else report["state"], sent_at)
+    signal = "down" if report is None else report.get("state", "down")
+    note_signal(table, executor, signal, sent_at)
     if report is None:
         return
     before = sent_at - LEASE_MARGIN_S
--- a/tests/fixtures_router.py
+++ b/tests/fixtures_router.py
@@ -46,6 +46,32 @@
     }
 
 
+def ready_router(policy=None, executors=2, slots=4, entry="e1"):
+    """Return a router that alone owns its executors; its clock stands at 0."""
+    identity = router.Identity(entry, 1, "fd1", "r1", f"{entry}:9", f"{entry}:8")
+    state = router.new_router(dict(ENTRY), identity, random.Random(1))
+    router.update_config(state, -1, 1, objects(**(policy or {})))
+    names = [f"x{index}" for index in range(executors)]
+    router.update_members(state, -1, [instance(name, slots) for name in names])
+    router.view_read(state, -1, -1, Row("views/fd1", None, 0))
+    router.view_written(state, 0, 0, 1)
+    for name in names:
+        router.health(state, 0, name, 0, {"state": "live", "in_flight": 0})
+    return state
+
+
+def submit(state, now, request_id, operation="op", deadline=10.0, **fields):
+    """Submit a request to the service of ``objects``; returns the effects."""
+    request = router.Request(request_id, "quotes", operation, deadline, **fields)
+    return router.submit(state, now, request)
+
+
+def finish(state, now, request_id, verdict=Verdict.RAN, run_s=0.1, **fields):
+    """Complete a request; returns (retried, effects)."""
+    outcome = router.Outcome(verdict, run_s=run_s, **fields)
+    return router.complete(state, now, request_id, outcome)
+
+
 class Node:
     """A router process; it is paused or isolated until the given times."""
 
@@ -142,6 +168,8 @@
     def carry_out(self, node, effect):
         match effect:
             case router.Dispatch():
+                if effect.request_id in self.dispatched:
+                    self.violations.append(f"dispatched twice: {effect}")
                 self.dispatched.add(effect.request_id)
                 self.at(self.rng.uniform(0, 0.1), self.arrive, node, effect)
             case router.Refuse():
@@ -215,6 +243,11 @@
         return request_id
 
     def arrive(self, node, effect):
+        if self.rng.random() < self.loss / 10:
+            self.dispatched.discard(effect.request_id)
+            outcome = router.Outcome(Verdict.NOT_RUN, leaving=True)
+            self.call(node, router.complete, effect.request_id, outcome)
+            return
         running = self.running[effect.executor]
         running.add((node, effect.request_id))
         if len(running) > self.slots[effect.executor]:
--- /dev/null
+++ b/tests/test_borrowing.py
@@ -0,0 +1,77 @@
+"""Guards against credits that are used twice, too late, or never come back."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan
+
+from cornelward import borrowing, router
+from cornelward.messages import Credit, Envelope, Heartbeat, SlotGrant
+from tests.fixtures_router import World, ready_router, submit
+
+
+def two_entries():
+    """Return a world of two entries, the first of which owns nothing."""
+    world = World(5, executors=1, policy={"reserved_short_slots": 0})
+    world.start("e1")
+    world.start("e2")
+    world.run(6)
+    owner = next(n for n in world.nodes if world.nodes[n].state.slots.owned)
+    return world, ({"e1", "e2"} - {owner}).pop(), owner
+
+
+def granted(state, now, sent_at=0.0):
+    grant = SlotGrant("quotes", "short", [Credit(7, "x0", "x0:1")], 1.0, sent_at)
+    return router.receive(state, now, Envelope("e2", 1, grant))
+
+
+def dispatches(effects):
+    return [e.credit_id for e in effects if isinstance(e, router.Dispatch)]
+
+
+@pytest.mark.proof
+@pytest.mark.parametrize("now, expected", [(0.9, [[7], []]), (1.0, [[], []])])
+def test_credit_is_used_once_and_in_time(now, expected):
+    state = ready_router()
+    for index in range(12):
+        submit(state, 0, str(index))
+    used = [dispatches(granted(state, now)) for _ in range(2)]
+    assert_that(used, Equals(expected))
+
+
+def test_entry_without_executors_borrows_all_slots():
+    world, borrower, _ = two_entries()
+    world.run_s = lambda: 1.0
+    for _ in range(8):
+        world.submit(borrower)
+    world.run(0.5)
+    assert_that(world.in_flight(), Equals(4))
+    world.run(2.0)
+    assert_that(world.queued(), Equals(0))
+    assert_that(world.violations, Equals([]))
+
+
+def test_slot_of_a_lost_return_is_found_again():
+    world, borrower, owner = two_entries()
+    for _ in range(4):
+        world.submit(borrower)
+    world.run(0.05)
+    world.loss = 1.0
+    world.run(1.0)
+    world.loss = 0.0
+    world.run(6)
+    state = world.nodes[owner].state
+    now = world.now + world.nodes[owner].offset
+    assert_that(borrowing.free_now(state, now, "quotes"), Equals(4))
+
+
+def test_credit_reported_in_use_stays_reserved():
+    world, borrower, owner = two_entries()
+    world.run_s = lambda: 20.0
+    for _ in range(4):
+        world.submit(borrower, deadline_s=60)
+    world.run(10)
+    state = world.nodes[owner].state
+    assert_that(len(state.slots.credits), Equals(4))
+    stale = Envelope("other", 1, Heartbeat(2, 1, 0.0, 1, {}, {}, []))
+    world.call(world.nodes[owner], router.receive, stale)
+    assert_that(len(state.slots.credits), GreaterThan(3))
--- /dev/null
+++ b/tests/test_views.py
@@ -0,0 +1,109 @@
+"""Guards against authority that outlives its lease, and executors without an owner."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, GreaterThan, Is
+
+from cornelward import router, views
+from cornelward.messages import Envelope, HeartbeatAck
+from cornelward.platform_client import Conflict, Row
+from tests.fixtures_router import World, ready_router, submit
+
+
+def world_of(count, executors=6):
+    world = World(3, executors=executors)
+    for index in range(count):
+        world.start(f"e{index + 1}")
+    world.run(8)
+    return world
+
+
+def has_authority(world, name):
+    node = world.nodes[name]
+    return views.has_authority(node.state.view, world.now + node.offset)
+
+
+@pytest.mark.proof
+def test_nothing_starts_after_a_pause_until_the_view_was_read():
+    state = ready_router()
+    effects = submit(state, 4.0, "late")
+    assert_that(effects, Equals([]))
+    row = state.view.row
+    value = {"epoch": 1, "members": {"e1": {"address": "e1:9", "incarnation": 1}}}
+    effects = router.view_read(state, 4.2, 4.1, Row("views/fd1", value, row.version))
+    assert_that(type(effects[-1]), Is(router.Dispatch))
+
+
+def test_acknowledgements_keep_authority_while_the_table_is_down():
+    world = world_of(3)
+    world.table_up = False
+    world.run(20)
+    for name in world.nodes:
+        assert_that(has_authority(world, name), Is(True))
+
+
+def test_entry_cut_off_from_everything_loses_authority():
+    world = world_of(3)
+    world.isolate("e1", 100)
+    world.run(3.1)
+    assert_that(has_authority(world, "e1"), Is(False))
+
+
+def test_single_entry_goes_on_while_the_table_is_down():
+    world = world_of(1)
+    world.table_up = False
+    world.run(60)
+    assert_that(has_authority(world, "e1"), Is(True))
+
+
+def test_silent_member_stops_the_others_for_a_limited_time_in_an_outage():
+    world = world_of(3)
+    world.table_up = False
+    world.kill("e3")
+    world.run(10)
+    assert_that(has_authority(world, "e1"), Is(False))
+    world.run(25)
+    assert_that(has_authority(world, "e1"), Is(True))
+    assert_that(world.nodes["e1"].state.view.members, Contains("e3"))
+
+
+def test_dead_entry_is_replaced_as_owner():
+    world = world_of(3)
+    world.kill("e3")
+    world.run(12)
+    owned = [
+        executor.id
+        for name in ("e1", "e2")
+        for executor in world.nodes[name].state.slots.owned.values()
+        if executor.ready
+    ]
+    assert_that(sorted(owned), Equals(sorted(world.slots)))
+
+
+def test_restarted_entry_with_the_same_id_is_usable_again():
+    world = world_of(2)
+    world.kill("e1")
+    world.start("e1")
+    world.run(6)
+    owned = world.nodes["e1"].state.slots.owned.values()
+    assert_that(len(owned), GreaterThan(0))
+    assert_that(all(executor.ready for executor in owned), Is(True))
+
+
+def test_ack_of_another_epoch_or_incarnation_gives_nothing():
+    world = world_of(2)
+    node = world.nodes["e1"]
+    view, now = node.state.view, world.now + node.offset
+    before = dict(view.acks)
+    for incarnation, epoch in ((99, view.epoch), (2, view.epoch + 1)):
+        ack = Envelope("e2", incarnation, HeartbeatAck(epoch, 1, now + 100))
+        views.on_ack(view, now, ack)
+    assert_that(view.acks, Equals(before))
+
+
+def test_write_conflict_and_unknown_result_are_read_back():
+    for result in (Conflict({"views/fd1": 3}), None):
+        state = ready_router()
+        state.pending_write = {"epoch": 2, "members": {}}
+        effects = router.view_written(state, 0.1, 0.1, result)
+        assert_that(effects, Equals([router.ReadView()]))
