Add reservations, backfill, preemption, quarantine and run times

The first waiting gang reserves workers until an expected start that is fixed when it is made; urgent jobs checkpoint batch tasks on workers held for them; a worker that fails what the same job does elsewhere gets no work for a time that doubles.

--- a/cornelward/capacity.py
+++ b/cornelward/capacity.py
@@ -76,7 +76,7 @@
         "renew_at",
         "report_sent_at",
         "reported_at",
-        "tasks",
+        "reserved",
     )
 
     def __init__(self, worker_id, address, rack, capacity):
@@ -87,9 +87,10 @@
         self.free = capacity
         self.evictable = capacity
         self.charges = {}
-        self.tasks = {}
         self.acks = set()
         self.accepts = False
+        # Job for which the worker is kept, see ``reservations``.
+        self.reserved = None
         self.member = True
         self.epoch = 0
         self.clock_ms = 0
@@ -111,13 +112,15 @@
 class WorkerTable:
     """All workers of the failure domain.
 
-    ``free`` indexes free capacity, ``evictable`` free capacity plus what preemptible
-    tasks hold. ``examined`` counts the workers that searches looked at.
+    ``free`` indexes free capacity, ``reserved`` that of workers kept for one job, and
+    ``evictable`` free capacity plus what preemptible tasks hold, of all workers.
+    ``examined`` counts the workers that searches looked at.
     """
 
     def __init__(self):
         self.by_id = {}
         self.free = FreeIndex()
+        self.reserved = FreeIndex()
         self.evictable = FreeIndex()
         self.examined = 0
         self.largest = ZERO
@@ -187,9 +190,11 @@
 
 
 def refresh(table, worker):
-    """Bring both indexes up to date after a change of ``free`` or ``accepts``."""
+    """Bring the indexes up to date after a change of ``free`` or ``accepts``."""
     table.changes += 1
-    _place(table.free, worker, worker.free)
+    kept = worker.reserved is not None
+    _place(table.free, worker, None if kept else worker.free)
+    _place(table.reserved, worker, worker.free if kept else None)
     _place(table.evictable, worker, worker.evictable)
 
 
@@ -202,7 +207,8 @@
 
 def _place(index, worker, vector):
     place = None
-    if worker.accepts and vector[0] > -EPSILON and vector[1] > -EPSILON:
+    usable = worker.accepts and vector is not None
+    if usable and vector[0] > -EPSILON and vector[1] > -EPSILON:
         # Workers with accelerators are kept apart, so that other work takes them last.
         place = (vector[2] >= 1, _bucket(vector[0]), vector[1])
     old = index.places.get(worker.id)
--- a/cornelward/jobs.py
+++ b/cornelward/jobs.py
@@ -269,8 +269,12 @@
         _end_task(task, SUCCEEDED)
     elif job.final is not None:
         _end_task(task, CANCELLED)
-    elif not counted:
+    elif not counted and job.repeatable:
         requeue_task(task)
+    elif not counted:
+        # A stopped execution is not repeated: its job ends without a result.
+        _end_task(task, LOST)
+        _set_final(job, LOST, reason or "the task was stopped")
     else:
         task.failures += 1
         task.avoid = (*task.avoid, task.worker)
--- a/cornelward/placement.py
+++ b/cornelward/placement.py
@@ -8,14 +8,19 @@
 SPREAD_CANDIDATES = 48
 
 
-def best_fit(table, demand, allowed):
+def best_fit(table, demand, allowed, reserved=None):
     """Return the worker that ``demand`` fills best, or None.
 
-    ``allowed(worker)`` may exclude workers.
+    ``allowed(worker)`` may exclude workers. ``reserved(worker)`` tells whether a worker
+    that is kept for some job may be used; without it none of them is.
     """
     for worker in candidates(table, table.free, demand):
         if fits(demand, worker.free) and allowed(worker):
             return worker
+    if reserved is not None:
+        for worker in candidates(table, table.reserved, demand):
+            if fits(demand, worker.free) and reserved(worker) and allowed(worker):
+                return worker
     return None
 
 
@@ -37,11 +42,11 @@
     return best
 
 
-def place_gang(table, demand, keys, allowed):
+def place_gang(table, demand, keys, allowed, reserved=None):
     """Return a worker for each key, charged, or None when not all of them fit."""
     chosen = []
     for key in keys:
-        worker = best_fit(table, demand, allowed)
+        worker = best_fit(table, demand, allowed, reserved)
         if worker is None:
             for placed, placed_key in zip(chosen, keys, strict=False):
                 drop_charges(table, placed, [placed_key])
--- a/cornelward/quotas.py
+++ b/cornelward/quotas.py
@@ -45,6 +45,9 @@
     def __init__(self):
         self.by_name = {}
         self.waiting = SortedList()
+        # Jobs that do not wait in the queue of their team, and all waiting gangs.
+        self.urgent = SortedList()
+        self.gangs = SortedList()
         self.total = ZERO
         self.changed = False
 
@@ -130,8 +133,14 @@
 
 def enqueue_job(table, job):
     """Queue a job that has waiting tasks; queued jobs are not queued twice."""
-    team = get_team(table, job.team)
     entry = (-job.priority, job.seq, job.id)
+    if job.type == "gang" and entry not in table.gangs:
+        table.gangs.add(entry)
+    if job.urgent:
+        if entry not in table.urgent:
+            table.urgent.add(entry)
+        return
+    team = get_team(table, job.team)
     if entry not in team.queue:
         team.queue.add(entry)
     _reorder(table, team)
--- a/cornelward/task_reports.py
+++ b/cornelward/task_reports.py
@@ -3,12 +3,26 @@
 from .capacity import drop_charges, refresh
 from .job_writes import mark_dirty
 from .jobs import ACTIVE, RUNNING, STARTING, task_ended, task_lost
+from .preemption import REPORT_S, signal_task
+from .quarantine import is_quarantined, note_failure, note_success
 from .quotas import enqueue_job
-from .task_effects import SignalTask, StartTask
+from .run_times import observe_run
+from .task_effects import StartTask
 from .task_state import requeue, unassign
 from .worker_leases import close_gate, is_usable, lapse_at, lease_until_ms, take_report
 
-__all__ = ["check_lapses", "lapse_worker", "send_starts", "start_answered", "take_body"]
+__all__ = [
+    "check_lapses",
+    "lapse_worker",
+    "record_running",
+    "send_starts",
+    "start_answered",
+    "take_body",
+]
+
+# A row shows its tasks as running only after this time: most short tasks end first, and
+# the write is saved.
+RECORD_RUNNING_S = 5.0
 
 
 def take_body(state, now, worker, sent_at, body):
@@ -26,7 +40,11 @@
     assigned = state.assigned.get(worker.id, {})
     keep = {task.key for task in assigned.values()}
     free = worker.free
-    take_report(state.workers, worker, now, sent_at, body, keep)
+    healthy = not is_quarantined(state.quarantine, worker.id, now)
+    take_report(state.workers, worker, now, sent_at, body, keep, healthy)
+    if effects:
+        # Tasks that were told to stop: see soon whether they did.
+        worker.renew_at = min(worker.renew_at, now + REPORT_S)
     if worker.free != free:
         state.place_wanted = True
     return effects
@@ -65,7 +83,15 @@
 def _end(state, now, task, worker, item):
     ordered = task.stopping is not None
     unassign(state, task)
-    task_ended(task, bool(item["ok"]), item.get("reason"), counted=not ordered)
+    job = task.job
+    total = len(state.workers.by_id)
+    counted = not ordered
+    if item["ok"]:
+        observe_run(state.run_times, job.workload, item["run_ms"] / 1000)
+        note_success(state.quarantine, now, worker.id, job.id, total)
+    elif counted:
+        counted = note_failure(state.quarantine, now, worker.id, job.id, total)
+    task_ended(task, bool(item["ok"]), item.get("reason"), counted)
     # The worker forgets the result only after the row holds it.
     task.job.acks.append((worker.id, (item["task"], item["attempt"])))
     _after_change(state, task)
@@ -91,8 +117,7 @@
     task.confirmed_at = now
     if task.started_at is None:
         task.started_at = now
-    if task.job.type != "batch":
-        mark_dirty(state, task.job)
+    state.to_record.append((now + RECORD_RUNNING_S, task, task.attempt))
 
 
 def _take_missing(state, worker, sent_at, body, running, finished):
@@ -129,11 +154,11 @@
     for key in sorted(running):
         task = _current(state, worker, key)
         if task is None:
-            effects.append(_signal(state, worker, key, "stop"))
+            effects.append(signal_task(state, worker, key, "stop"))
         elif task.job.final is not None or _regroups(task.job):
             task.stopping = "stop"
         if task is not None and task.stopping:
-            effects.append(_signal(state, worker, key, task.stopping))
+            effects.append(signal_task(state, worker, key, task.stopping))
     return effects
 
 
@@ -142,16 +167,6 @@
     return job.type == "gang" and bool(job.waiting)
 
 
-def _signal(state, worker, key, action):
-    body = {
-        "epoch": state.own.epoch,
-        "task": key[0],
-        "attempt": key[1],
-        "action": action,
-    }
-    return SignalTask(worker.id, worker.address, body)
-
-
 def send_starts(state, now, job, starts):
     """Return start commands for tasks whose starting record is durable."""
     tasks = [
@@ -208,6 +223,14 @@
         _after_change(state, task)
 
 
+def record_running(state, now):
+    """Write the rows of jobs whose tasks have run for a while."""
+    while state.to_record and state.to_record[0][0] <= now:
+        _, task, attempt = state.to_record.popleft()
+        if task.state == RUNNING and task.attempt == attempt:
+            mark_dirty(state, task.job)
+
+
 def check_lapses(state, now):
     """Restart what ran on workers whose lease has certainly expired."""
     for worker in list(state.workers.by_id.values()):
--- a/cornelward/task_scheduler.py
+++ b/cornelward/task_scheduler.py
@@ -41,6 +41,7 @@
 from .task_reports import (
     check_lapses,
     lapse_worker,
+    record_running,
     send_starts,
     start_answered,
     take_body,
@@ -202,6 +203,8 @@
     """Do what is due."""
     if state.own.role == OWNER:
         check_lapses(state, now)
+        if state.teams.gangs or state.holds or state.teams.urgent:
+            state.place_wanted = True
     return _advance(state, now)
 
 
@@ -272,7 +275,8 @@
             effects += send_starts(state, now, job, starts)
         effects += load_due(state, now)
         effects += usage_due(state, now)
-        place_jobs(state, now)
+        record_running(state, now)
+        effects += place_jobs(state, now)
         effects += flush_jobs(state, now)
     effects += retry_reads(state, now)
     done = not (own.busy or state.writes or state.reading)
--- a/cornelward/task_state.py
+++ b/cornelward/task_state.py
@@ -1,13 +1,15 @@
 """State of the task core, and the bookkeeping that its systems share."""
 
 import itertools
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 from .capacity import WorkerTable, add_charge, drop_charges
 from .job_writes import mark_dirty
 from .jobs import JobTable, requeue_task
 from .ownership import Ownership
+from .quarantine import Quarantine
 from .quotas import TeamTable, charge_team, enqueue_job
+from .run_times import RunTimes
 
 __all__ = ["SchedulerState", "assign", "requeue", "unassign"]
 
@@ -23,6 +25,8 @@
         self.own = Ownership(cfg, identity)
         self.workers = WorkerTable()
         self.config_version = 0
+        self.run_times = RunTimes()
+        self.quarantine = Quarantine()
         self.workloads = {}
         self.policies = {}
         self.quotas = {}
@@ -43,6 +47,10 @@
     state.assigned = {}
     state.writes = {}
     state.unsent = []
+    state.reservation = None
+    state.holds = {}
+    state.gang_retry = {}
+    state.to_record = deque()
     state.reading = {}
     state.read_retries = {}
     state.dirty = {}
--- a/cornelward/task_steps.py
+++ b/cornelward/task_steps.py
@@ -7,11 +7,18 @@
 from .jobs import refuse_job
 from .ownership import has_authority
 from .placement import best_fit, place_gang, spread_fit
+from .preemption import expire_holds, preempt_for
 from .quotas import (
     drop_entry,
     exceeds_quota,
     quota_room,
 )
+from .reservations import (
+    clear_reservation,
+    make_reservation,
+    may_backfill,
+    set_hold,
+)
 from .task_state import assign
 
 __all__ = ["place_jobs"]
@@ -20,6 +27,11 @@
 MAX_DECISIONS = 64
 # Jobs behind the first of a team's queue that are tried when the first does not fit.
 LOOKAHEAD = 8
+# A gang that does not fit is not tried again at each event.
+GANG_RETRY_S = 0.1
+# How often the reservation follows newer expectations, before and after its time.
+RESERVE_S = 2.0
+RESERVE_LATE_S = 30.0
 
 
 class _Round:
@@ -31,39 +43,121 @@
 
 
 def place_jobs(state, now):
-    """Place waiting tasks; the starts follow when their rows are written."""
+    """Place waiting tasks; the starts follow when their rows are written.
+
+    Returns the signals to tasks that urgent work preempts.
+    """
     ready = state.loaded and state.config_version and not state.leaving
     if not (state.place_wanted and ready and has_authority(state.own, now)):
-        return
+        return []
     rnd = _Round()
     state.place_wanted = False
+    expire_holds(state, now)
+    effects = _place_urgent(state, now, rnd)
+    _update_reservation(state, now, rnd)
     order = list(state.teams.waiting)
     while order:
         if rnd.decisions >= MAX_DECISIONS:
             state.place_wanted = True
-            return
+            break
         team = state.teams.by_name[heapq.heappop(order)[1]]
         if _place_team(state, now, rnd, team) and team.place is not None:
             heapq.heappush(order, team.place)
+    return effects
+
+
+def _place_urgent(state, now, rnd):
+    effects = []
+    for entry in list(state.teams.urgent):
+        job = _live_job(state, entry)
+        if job is None:
+            state.teams.urgent.discard(entry)
+        elif not _refuse(state, job):
+            _place_job(state, now, rnd, job)
+            room = quota_room(state.teams, job.team, job.demand, len(job.waiting))
+            if room:
+                effects += preempt_for(state, now, job, room)
+    return effects
+
+
+def _live_job(state, entry):
+    """Return the job of a queue entry, or None when nothing of it waits."""
+    job = state.jobs.by_id.get(entry[2])
+    if job is None or job.final is not None or not job.waiting:
+        return None
+    return job
+
+
+def _refuse(state, job):
+    reason = never_runnable(state, job)
+    if reason:
+        refuse_job(job, reason)
+        mark_dirty(state, job)
+    return reason is not None
+
+
+def _update_reservation(state, now, rnd):
+    """Try the first waiting gang, and reserve workers for it while it waits."""
+    head = _first_gang(state)
+    held = state.reservation
+    if head is not None:
+        _place_job(state, now, rnd, head)
+        if not head.waiting:
+            head = None
+    if held is not None and (head is None or head.id != held.job_id):
+        clear_reservation(state.workers, held)
+        state.reservation = held = None
+        state.place_wanted = True
+    if head is None:
+        return
+    every = RESERVE_S if held is None or now < held.until else RESERVE_LATE_S
+    if held is None or now >= held.made_at + every:
+        _renew_reservation(state, now, head, held)
+
+
+def _first_gang(state):
+    for entry in list(state.teams.gangs):
+        job = _live_job(state, entry)
+        if job is None:
+            state.teams.gangs.discard(entry)
+        elif len(job.tasks) - job.ended == len(job.waiting) and not _refuse(state, job):
+            count = len(job.waiting)
+            if quota_room(state.teams, job.team, job.demand, count) == count:
+                return job
+    return None
+
+
+def _renew_reservation(state, now, job, held):
+    new = make_reservation(
+        state.workers, state.assigned, state.run_times, now, job, held
+    )
+    if new is None:
+        if held is not None:
+            held.made_at = now
+        return
+    if held is not None and now < held.until:
+        clear_reservation(state.workers, held)
+    elif held is not None:
+        # Workers that already drain are kept: the gang comes nearer with each of them.
+        new.workers |= held.workers
+    for worker_id in new.workers:
+        worker = state.workers.by_id.get(worker_id)
+        if worker is not None and worker.reserved is None:
+            set_hold(state.workers, worker, job.id)
+    state.reservation = new
 
 
 def _place_team(state, now, rnd, team):
     """Place one job's tasks of the team; return whether anything was placed."""
     tried = 0
     for entry in list(team.queue.islice(0, LOOKAHEAD * 2)):
-        job = state.jobs.by_id.get(entry[2])
-        if job is None or job.final is not None or not job.waiting:
+        job = _live_job(state, entry)
+        if job is None or _refuse(state, job):
             drop_entry(state.teams, team, entry)
             continue
         tried += 1
         if tried > LOOKAHEAD:
             break
-        reason = never_runnable(state, job)
-        if reason:
-            refuse_job(job, reason)
-            mark_dirty(state, job)
-            drop_entry(state.teams, team, entry)
-            continue
         placed = _place_job(state, now, rnd, job)
         if not job.waiting:
             drop_entry(state.teams, team, entry)
@@ -94,19 +188,22 @@
 
 def _place_job(state, now, rnd, job):
     room = quota_room(state.teams, job.team, job.demand, len(job.waiting))
-    if room == 0 or job.demand in rnd.blocked:
+    reserved = _reserved_rule(state, now, job)
+    # A demand that fitted nowhere in this round does not fit for the next job either,
+    # unless that job may use reserved workers.
+    shape = (job.demand, reserved is not None)
+    if room == 0 or shape in rnd.blocked:
         return False
     if job.type == "gang":
-        return _place_gang(state, now, rnd, job, room)
+        return _place_gang(state, now, rnd, job, room, reserved)
     counts = _rack_counts(state, job) if job.spread else None
     placed = False
     while room > 0 and job.waiting and rnd.decisions < MAX_DECISIONS:
         task = job.waiting[-1]
         rnd.decisions += 1
-        worker = _choose(state, job, task, counts)
+        worker = _choose(state, job, task, counts, reserved)
         if worker is None:
-            if not task.avoid:
-                rnd.blocked.add(job.demand)
+            rnd.blocked.add(shape)
             break
         job.waiting.pop()
         assign(state, task, worker, now)
@@ -117,15 +214,37 @@
     return placed
 
 
-def _choose(state, job, task, counts):
+def _reserved_rule(state, now, job):
+    """Return which reserved workers the job may use, or None for none of them."""
+    held = state.reservation
+    owners = set()
+    if held is not None and (
+        job.urgent
+        or held.job_id == job.id
+        or may_backfill(state.run_times, held, now, job)
+    ):
+        owners.add(held.job_id)
+    if job.urgent:
+        owners.update(owner for owner, _ in state.holds.values())
+    if not owners:
+        return None
+    return lambda worker: worker.reserved in owners
+
+
+def _choose(state, job, task, counts, reserved):
     state.stats["decisions"] += 1
 
-    def allowed(worker):
+    def avoids(worker):
         return worker.id not in task.avoid
 
     if counts is not None:
-        return spread_fit(state.workers, job.demand, allowed, counts)
-    return best_fit(state.workers, job.demand, allowed)
+        worker = spread_fit(state.workers, job.demand, avoids, counts)
+    else:
+        worker = best_fit(state.workers, job.demand, avoids, reserved)
+    if worker is None and task.avoid:
+        # Better a worker where it failed than none.
+        return best_fit(state.workers, job.demand, lambda worker: True, reserved)
+    return worker
 
 
 def _rack_counts(state, job):
@@ -137,17 +256,20 @@
     return counts
 
 
-def _place_gang(state, now, rnd, job, room):
+def _place_gang(state, now, rnd, job, room, reserved):
     """Place all tasks of a gang, or none while some still run or do not fit."""
     active = len(job.tasks) - job.ended - len(job.waiting)
-    if room < len(job.waiting) or active:
+    retry_at = state.gang_retry.get(job.id, 0.0)
+    if room < len(job.waiting) or active or now < retry_at:
         return False
     rnd.decisions += 1
     state.stats["decisions"] += 1
     keys = [(task.name, -1) for task in job.waiting]
-    workers = place_gang(state.workers, job.demand, keys, lambda worker: True)
+    workers = place_gang(state.workers, job.demand, keys, lambda worker: True, reserved)
     if workers is None:
+        state.gang_retry[job.id] = now + GANG_RETRY_S
         return False
+    state.gang_retry.pop(job.id, None)
     tasks, job.waiting = job.waiting, []
     for task, worker, key in zip(tasks, workers, keys, strict=True):
         drop_charges(state.workers, worker, [key])
--- a/cornelward/worker_leases.py
+++ b/cornelward/worker_leases.py
@@ -53,7 +53,7 @@
         worker.in_flight = None
         worker.renew_at = now
         worker.acks = set()
-        worker.tasks = {}
+        worker.reserved = None
         drop_charges(table, worker, list(worker.charges))
 
 
@@ -110,8 +110,12 @@
     return effects
 
 
-def take_report(table, worker, now, sent_at, body, keep):
-    """Take capacity and usage of a report; ``keep`` are charges not yet reported."""
+def take_report(table, worker, now, sent_at, body, keep, healthy):
+    """Take capacity and usage of a report.
+
+    ``keep`` are charges not yet reported; a worker that is not ``healthy`` gets no new
+    work.
+    """
     first = worker.epoch == 0
     worker.epoch = body["epoch"]
     worker.clock_ms = body["clock_ms"]
@@ -127,7 +131,7 @@
     gone = [key for key in worker.charges if key not in reported and key not in keep]
     _set_capacity(worker, to_vector(body["capacity"]))
     drop_charges(table, worker, gone)
-    accepts = worker.member and body["state"] == "live"
+    accepts = worker.member and healthy and body["state"] == "live"
     if accepts != worker.accepts:
         worker.accepts = accepts
         refresh(table, worker)
