--- a/cornelward/preemption.py
+++ b/cornelward/preemption.py
@@ -4,7 +4,7 @@
 from .reservations import release_hold, set_hold
 from .task_effects import SignalTask
 
-__all__ = ["expire_holds", "preempt_for", "signal_task"]
+__all__ = ["expire_holds", "hold_owner", "preempt_for", "signal_task"]
 
 # A worker held for an urgent task is released if the task has not started by then, so
 # that a worker that does not stop its tasks cannot delay the urgent task further.
@@ -27,20 +27,37 @@
 
 def preempt_for(state, now, job, count):
     """Checkpoint tasks on workers for ``count`` tasks of an urgent job."""
-    held = sum(owner == job.id for owner, _ in state.holds.values())
-    effects = []
-    for _ in range(min(count, MAX_TRIES) - held):
-        found = _find_victims(state, job)
-        if found is None:
+    count = min(count, MAX_TRIES)
+    owner = hold_owner(job)
+    held = sum(name == owner for name, _ in state.holds.values())
+    found = []
+    while held + len(found) < count:
+        choice = _find_victims(state, job)
+        if choice is None:
             break
-        worker, victims = found
-        state.holds[worker.id] = (job.id, now + HOLD_S)
-        set_hold(state.workers, worker, job.id)
-        worker.renew_at = min(worker.renew_at, now + REPORT_S)
-        for task in victims:
-            state.stats["preemptions"] += 1
-            task.stopping = "checkpoint"
-            effects.append(signal_task(state, worker, task.key, "checkpoint"))
+        found.append(choice)
+        state.holds[choice[0].id] = (owner, now + HOLD_S)
+    if job.type == "gang" and held + len(found) < len(job.waiting):
+        # Nothing is stopped for a gang that would still not fit.
+        for worker, _ in found:
+            del state.holds[worker.id]
+        return []
+    return [effect for choice in found for effect in _stop(state, now, owner, *choice)]
+
+
+def hold_owner(job):
+    """Return the owner of holds for an urgent job, other than its reservation's."""
+    return f"urgent {job.id}"
+
+
+def _stop(state, now, owner, worker, victims):
+    set_hold(state.workers, worker, owner)
+    worker.renew_at = min(worker.renew_at, now + REPORT_S)
+    effects = []
+    for task in victims:
+        state.stats["preemptions"] += 1
+        task.stopping = "checkpoint"
+        effects.append(signal_task(state, worker, task.key, "checkpoint"))
     return effects
 
 
@@ -90,12 +107,12 @@
 
 def expire_holds(state, now):
     """Release workers whose urgent task started elsewhere, ended or waited too long."""
-    for worker_id, (job_id, until) in list(state.holds.items()):
-        job = state.jobs.by_id.get(job_id)
+    for worker_id, (owner, until) in list(state.holds.items()):
+        job = state.jobs.by_id.get(owner.partition(" ")[2])
         waits = job is not None and job.final is None and job.waiting
         worker = state.workers.by_id.get(worker_id)
         if now >= until or not waits or worker is None:
             del state.holds[worker_id]
-            if worker is not None and worker.reserved == job_id:
+            if worker is not None and worker.reserved == owner:
                 release_hold(state.workers, worker)
                 state.place_wanted = True
--- a/cornelward/task_reports.py
+++ b/cornelward/task_reports.py
@@ -91,6 +91,8 @@
         note_success(state.quarantine, now, worker.id, job.id, total)
     elif counted:
         counted = note_failure(state.quarantine, now, worker.id, job.id, total)
+        # The failure of a task that is not repeated is the job's end in any case.
+        counted = counted or not job.repeatable
     task_ended(task, bool(item["ok"]), item.get("reason"), counted)
     # The worker forgets the result only after the row holds it.
     task.job.acks.append((worker.id, (item["task"], item["attempt"])))
--- a/tests/fixtures_tasks.py
+++ b/tests/fixtures_tasks.py
@@ -6,7 +6,10 @@
 
 OBJECTS = [
     {"kind": "workload", "name": "w", "type": "batch", "policy": "p", "team": "t"},
+    {"kind": "workload", "name": "u", "type": "batch", "policy": "urgent", "team": "t"},
     {"kind": "policy", "name": "p", "type": "batch"},
+    {"kind": "policy", "name": "urgent", "type": "batch", "urgent": True},
+    {"kind": "team", "name": "small", "quota": {"cpu": 12, "memory_mb": 4000}},
 ]
 
 
--- a/tests/test_task_guarantees.py
+++ b/tests/test_task_guarantees.py
@@ -17,6 +17,7 @@
 
 FAULTY_S = 80
 QUIET_S = 160
+FAULT_KINDS = ("pause", "pause", "worker", "worker", "outage", "restart", "failing")
 FINAL = ("succeeded", "failed", "cancelled", "refused", "lost")
 
 
@@ -75,6 +76,8 @@
             tasks=tasks,
             cpu=rng.choice([1, 2, 4, 6]),
             type=job_type,
+            workload=rng.choice(["w", "w", "w", "u"]),
+            team=rng.choice(["t", "small"]),
             repeatable=rng.random() < 0.8,
             run={"run_s": rng.uniform(0.5, 12.0), "ok": rng.random() < 0.95},
         )
@@ -93,6 +96,9 @@
     def set_down(down):
         cell.table.down = down
 
+    def set_failing(worker, failing):
+        cell.workers[worker].fail_all = failing
+
     def restart(name, incarnation):
         if name in cell.cores:
             cell.remove_scheduler(name)
@@ -101,7 +107,7 @@
 
     for number in range(rng.randrange(4, 10)):
         at = rng.uniform(5, FAULTY_S)
-        kind = rng.choice(["pause", "pause", "worker", "worker", "outage", "restart"])
+        kind = rng.choice(FAULT_KINDS)
         length = rng.choice([0.5, 3, 6, 12, 20]) * rng.uniform(0.8, 1.2)
         name = rng.choice(sorted(cell.cores))
         worker = rng.choice(sorted(cell.workers))
@@ -110,6 +116,9 @@
         elif kind == "worker":
             cell.at(at, lambda w=worker: cell.kill(w))
             cell.at(at + length, lambda w=worker: cell.revive(w))
+        elif kind == "failing":
+            cell.at(at, lambda w=worker: set_failing(w, True))
+            cell.at(at + length, lambda w=worker: set_failing(w, False))
         elif kind == "outage":
             cell.at(at, lambda: set_down(True))
             cell.at(at + length, lambda: set_down(False))
