--- a/cornelward/jobs.py
+++ b/cornelward/jobs.py
@@ -184,7 +184,9 @@
 
 def apply_policy(job, workload, policy):
     """Take what the operators' objects say about the job."""
-    declared = job.record.get("repeatable", True)
+    # Kept in the record, so that the deletion of a workload does not make its jobs
+    # repeatable. A record without it was never started.
+    declared = job.record.get("repeatable", bool(workload))
     job.repeatable = bool(workload.get("repeatable", declared))
     job.priority = policy.get("priority") or 0
     job.urgent = bool(policy.get("urgent"))
@@ -224,6 +226,7 @@
         "reason": job.reason,
         "verdict": verdict,
         "nonce": nonce,
+        "repeatable": job.repeatable,
         "tasks": [
             {
                 "task": task.name,
--- a/cornelward/quarantine.py
+++ b/cornelward/quarantine.py
@@ -1,7 +1,9 @@
 """Workers that fail what succeeds elsewhere get no new work for a time that doubles.
 
 A failure is unexplained when the same job succeeded on another worker. Jobs of one
-workload differ too much in their inputs to be compared with each other.
+workload differ too much in their inputs to be compared with each other. Until the job
+has run elsewhere, a worker that only fails is held back for a short time: it would
+otherwise attract more work with each failure that frees its capacity.
 """
 
 from collections import OrderedDict, deque
@@ -12,6 +14,7 @@
 FAILURES = 3
 FIRST_S = 60.0
 LONGEST_S = 3600.0
+SUSPECT_S = 5.0
 # A fault that shows on more workers than this is not the workers' fault.
 MAX_SHARE = 0.25
 MAX_JOBS = 4_096
@@ -20,16 +23,17 @@
 class _Health:
     """Jobs that failed on one worker since its last success."""
 
-    __slots__ = ("failures", "level", "until")
+    __slots__ = ("failures", "level", "suspect", "until")
 
     def __init__(self):
         self.failures = deque(maxlen=16)
         self.level = 0
+        self.suspect = False
         self.until = 0.0
 
 
 class Quarantine:
-    """Failure history; ``jobs`` maps recent job ids to (succeeded on, suspects)."""
+    """Failure history; ``jobs`` maps recent job ids to (succeeded on, failed on)."""
 
     def __init__(self):
         self.workers = {}
@@ -52,19 +56,18 @@
         health.failures.clear()
         if now >= health.until:
             health.level = 0
-    places, suspects = _job(quarantine, job_id)
+    succeeded, failed = _job(quarantine, job_id)
     # Two workers are enough to tell whether one of them is not the suspect.
-    if worker not in places and len(places) < 2:
-        places.append(worker)
-        for suspect in sorted(suspects):
+    if worker not in succeeded and len(succeeded) < 2:
+        succeeded.append(worker)
+        for suspect in sorted(failed):
             _judge(quarantine, now, suspect, total)
-        suspects.clear()
 
 
 def note_failure(quarantine, now, worker, job_id, total):
     """Take a failure; return whether it counts against the job."""
     health = quarantine.workers.setdefault(worker, _Health())
-    if now < health.until:
+    if now < health.until and not health.suspect:
         return False
     health.failures.append(job_id)
     _job(quarantine, job_id)[1].add(worker)
@@ -81,14 +84,23 @@
 
 
 def _judge(quarantine, now, worker, total):
-    """Quarantine the worker if the jobs don't explain its failures."""
+    """Hold the worker back if the jobs don't explain its failures.
+
+    Returns whether it is quarantined, which excuses the job.
+    """
     health = quarantine.workers[worker]
-    unexplained = sum(
-        any(place != worker for place in quarantine.jobs.get(job_id, ((),))[0])
-        for job_id in health.failures
-    )
+    unexplained = suspect = 0
+    for job_id in health.failures:
+        succeeded, failed = quarantine.jobs.get(job_id, ((), ()))
+        unexplained += any(place != worker for place in succeeded)
+        suspect += not any(place != worker for place in failed)
     closed = sum(now < other.until for other in quarantine.workers.values())
-    if unexplained < FAILURES or closed + 1 > max(1, MAX_SHARE * total):
+    closed += now >= health.until
+    if max(unexplained, suspect) < FAILURES or closed > max(1, MAX_SHARE * total):
+        return False
+    health.suspect = unexplained < FAILURES
+    if health.suspect:
+        health.until = now + SUSPECT_S
         return False
     health.until = now + min(FIRST_S * 2**health.level, LONGEST_S)
     health.level += 1
--- a/tests/fixtures_tasks.py
+++ b/tests/fixtures_tasks.py
@@ -57,10 +57,15 @@
     return replay
 
 
+def done_record(replay, job_id):
+    """Return the job's final record, or None."""
+    return replay.table.get(f"done/{replay.fd}/{job_id}").value
+
+
 def done_state(replay, job_id):
     """Return the state in the job's final record, or None."""
-    row = replay.table.get(f"done/{replay.fd}/{job_id}")
-    return row.value["state"] if row.version else None
+    record = done_record(replay, job_id)
+    return record and record["state"]
 
 
 @pytest.fixture
