--- a/cornelward/routing.py
+++ b/cornelward/routing.py
@@ -43,6 +43,10 @@
 # was refused there.
 SPILL_WINDOW = 4
 SPILL_PAUSE_S = 1.0
+# How long a sign of leaving holds for an entry that does not own the executor.
+SIGNAL_S = 2.0
+
+NEVER = float("-inf")
 
 
 class Dispatch(NamedTuple):
@@ -71,7 +75,7 @@
 
 
 class Outcome(NamedTuple):
-    """How an attempt ended; ``error`` is set if the connection failed."""
+    """How an attempt ended; ``leaving`` stops new work until ``/health`` is live."""
 
     verdict: Verdict
     error: str | None = None
@@ -183,20 +187,19 @@
     credits = service.credits[cls]
     while credits:
         lease = credits.popleft()
-        if now < lease.usable_until and _is_usable(state, lease):
+        if now < lease.usable_until and _is_usable(state, now, lease):
             return None, lease
         state.unused.append(lease)
     return None
 
 
-def _is_usable(state, lease):
+def _is_usable(state, now, lease):
     executor = state.slots.executors.get(lease.credit.executor)
-    return (
-        executor is not None
-        and executor.listed == "live"
-        and executor.signal == "live"
-        and executor.address == lease.credit.address
-    )
+    if executor is None or executor.address != lease.credit.address:
+        return False
+    # Only owners ask for the health, so what others saw holds for a time.
+    signal_old = not executor.owned and now - executor.signal_at > SIGNAL_S
+    return executor.listed == "live" and (executor.signal == "live" or signal_old)
 
 
 def start(state, now, work, slot):
@@ -260,34 +263,29 @@
     service, executor = work.service, work.executor
     queue = service.queues[work.cls]
     queue.running -= 1
-    orphaned_until = None
+    orphan = None
     if outcome.verdict is Verdict.MAY_HAVE_RUN:
-        orphaned_until = now + service.policy.max_run_s
-    _note_signal(state, executor, outcome)
+        orphan = now, now + service.policy.max_run_s
+    _note_signal(state, now, executor, outcome)
     if work.credit is not None:
-        _end_credit(state, now, work, orphaned_until)
+        _end_credit(state, now, work, orphan)
     else:
-        slots.end_run(state.slots, executor, work.request.request_id, orphaned_until)
+        slots.end_run(state.slots, executor, work.request.request_id, orphan)
     if outcome.verdict is Verdict.RAN:
         _observe(state, work, outcome.run_s or now - work.started_at)
 
 
-def _note_signal(state, executor, outcome):
+def _note_signal(state, now, executor, outcome):
     if outcome.leaving:
-        executor.signal = "leaving"
-    elif outcome.error is not None:
-        executor.signal = "down"
-    else:
-        return
-    executor.probe_at = 0.0
-    slots.update_index(state.slots, executor)
+        slots.note_signal(state.slots, executor, "leaving", now)
+        executor.probe_at = NEVER
 
 
-def _end_credit(state, now, work, orphaned_until):
+def _end_credit(state, now, work, orphan):
     lease = work.credit
     work.credit = None
     state.credits_in_use.pop(lease.credit.credit_id, None)
-    if orphaned_until is not None:
+    if orphan is not None:
         # Neither returned nor reported: the owner counts the slot as an orphan.
         return
     if now < lease.usable_until and work.service.queues[work.cls].count:
