--- a/cornelward/http_client.py
+++ b/cornelward/http_client.py
@@ -63,6 +63,7 @@
         "addr",
         "connected",
         "exchange",
+        "keep_alive",
         "out",
         "parser",
         "reusable",
@@ -75,6 +76,7 @@
         self.sock = sock
         self.connected = False
         self.reusable = True
+        self.keep_alive = False
         self.exchange = None
         self.out = b""
         self.size = 0
@@ -95,6 +97,8 @@
         self.exchange.body.append(data)
 
     def on_message_complete(self):
+        # The parser forgets this once the message is complete.
+        self.keep_alive = self.parser.should_keep_alive()
         # 1xx answers are interim: the final one follows on the same connection.
         if self.parser.get_status_code() >= 200:
             self.exchange.done = True
@@ -236,7 +240,7 @@
         conn.size = 0
         status = conn.parser.get_status_code()
         idle = self._idle.setdefault(conn.addr, deque())
-        whole = conn.reusable and not conn.out and conn.parser.should_keep_alive()
+        whole = conn.reusable and conn.keep_alive and not conn.out
         if whole and len(idle) < self._max_idle:
             conn.parser = httptools.HttpResponseParser(conn)
             idle.append(conn)
--- a/tests/fixtures_entry.py
+++ b/tests/fixtures_entry.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from cornelward import settings
+from cornelward import router, settings
 from cornelward.compose import build_entry
 from cornelward.http_client import HttpClient
 from cornelward.http_server import HttpServer
@@ -175,7 +175,7 @@
 
     def __init__(self, core=None):
         self.loop = Loop()
-        self.core = core
+        self.core = core or router
         self.client = HttpClient(self.loop)
         self.servers = []
         self.entries = []
