Add the scheduler process and complete the thin path

Cause: requests, jobs and configuration need both daemons as separate processes. Change: scheduler shell, worker client, worker stand-in, process launcher for tests and tools, start-up shared by the daemons. Ruled out: one process for both roles (a scheduler's recovery would delay requests on the one loop).

--- a/cornelward/compose.py
+++ b/cornelward/compose.py
@@ -1,6 +1,7 @@
 """The one composition root: builds a process from its settings.
 
-``build_common`` makes what every process has; ``build_entry`` adds the request side.
+``build_common`` makes what every process has; ``build_entry`` adds the request side,
+``build_scheduler`` the task side.
 """
 
 import os
@@ -9,7 +10,8 @@
 from typing import NamedTuple
 
 from . import entry as entry_shell
-from . import router
+from . import router, task_scheduler
+from . import scheduler as scheduler_shell
 from .api import make_handle
 from .errors import START_FAILED, CornelwardError
 from .http_client import HttpClient
@@ -19,8 +21,9 @@
 from .peers import Peers
 from .platform_client import connect_platform
 from .upstream_client import connect_upstream
+from .worker_client import connect_workers
 
-__all__ = ["Common", "build_common", "build_entry"]
+__all__ = ["Common", "build_common", "build_entry", "build_scheduler"]
 
 
 class Common(NamedTuple):
@@ -90,16 +93,19 @@
     return CornelwardError(f"{key} {cfg[key]}: {reason}", START_FAILED)
 
 
-def build_entry(cfg, loop=None, core=router):
-    """Return an entry that is bound and starts with its loop."""
-    holder = []
-    common = build_common(
+def _build_common_for(holder, cfg, loop):
+    """Return Common parts that call the process put into ``holder`` later."""
+    return build_common(
         cfg,
         lambda call: holder[0].handle(call),
         lambda envelope: holder[0].on_message(envelope),
         loop,
     )
-    identity = core.Identity(
+
+
+def _identity(common):
+    cfg = common.cfg
+    return router.Identity(
         cfg["id"],
         common.incarnation,
         cfg["failure_domain"],
@@ -107,6 +113,13 @@
         common.peers.address,
         common.server.address,
     )
+
+
+def build_entry(cfg, loop=None, core=router):
+    """Return an entry that is bound and starts with its loop."""
+    holder = []
+    common = _build_common_for(holder, cfg, loop)
+    identity = _identity(common)
     rng = random.Random(os.urandom(16))
     upstream = connect_upstream(common.client)
     entry = entry_shell.Entry(common, core, identity, rng, upstream)
@@ -114,3 +127,15 @@
     holder.append(entry)
     entry_shell.start(entry)
     return entry
+
+
+def build_scheduler(cfg, loop=None, core=task_scheduler):
+    """Return a scheduler that is bound and starts with its loop."""
+    holder = []
+    common = _build_common_for(holder, cfg, loop)
+    rng = random.Random(os.urandom(16))
+    workers = connect_workers(common.client, cfg["platform_timeout_s"])
+    scheduler = scheduler_shell.Scheduler(common, core, _identity(common), rng, workers)
+    holder.append(scheduler)
+    scheduler_shell.start(scheduler)
+    return scheduler
--- a/cornelward/entry.py
+++ b/cornelward/entry.py
@@ -4,25 +4,21 @@
 settings are bad and with 3 when the process could not start.
 """
 
-import argparse
-import sys
-from pathlib import Path
 from typing import NamedTuple
 
 from . import config_follow, forwarding, keyed, request_flow
-from .errors import CornelwardError, PlatformError, SettingsError
-from .log import get_logger, setup_logging
+from .errors import PlatformError
+from .log import get_logger
 from .messages import ConfigAnnounce, ConfigRequest, Heartbeat
 from .objects import index_objects
 from .platform_client import Conflict
-from .settings import ENTRY, load_settings
+from .process import run_process
+from .settings import ENTRY
 
 __all__ = ["Entry", "OperationSpec", "begin_leave", "main", "start"]
 
 log = get_logger("entry")
 
-EXIT_BAD_SETTINGS = 2
-EXIT_START_FAILED = 3
 DRAIN_CHECK_S = 0.25
 NONCE_BITS = 96
 
@@ -302,27 +298,10 @@
 
 def main(argv=None):
     """Run an entry until a signal; returns the exit code."""
-    parser = argparse.ArgumentParser(prog="cornelward-entry", description=__doc__)
-    parser.add_argument("settings", help="path of the settings file")
-    args = parser.parse_args(argv)
     # The composition root imports this module.
     from .compose import build_entry
 
-    try:
-        cfg = load_settings(args.settings, ENTRY)
-        setup_logging(cfg["log_level"], cfg["log_file"], id=cfg["id"])
-        entry = build_entry(cfg)
-        if cfg["ready_file"]:
-            address = entry.identity.http_address
-            Path(cfg["ready_file"]).write_text(address, encoding="ascii")
-    except SettingsError as exc:
-        print(f"cornelward-entry: {exc.message}", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
-    except (CornelwardError, OSError) as exc:
-        print(f"cornelward-entry: {exc}", file=sys.stderr)
-        return EXIT_START_FAILED
-    entry.loop.run()
-    return 0
+    return run_process("cornelward-entry", ENTRY, build_entry, __doc__, argv)
 
 
 if __name__ == "__main__":
