Add the scheduler process: shell, metrics and its place in the composition root

Cause: the task core needs a process that carries out its effects. Conclusion: starts; not yet measured or tested against real processes.

--- a/cornelward/compose.py
+++ b/cornelward/compose.py
@@ -1,6 +1,7 @@
 """The one composition root: builds a process from its settings.
 
-``build_common`` makes what every process has; ``build_entry`` adds the request side.
+``build_common`` makes what every process has; ``build_entry`` adds the request side,
+``build_scheduler`` the task side.
 """
 
 import os
@@ -9,7 +10,8 @@
 from typing import NamedTuple
 
 from . import entry as entry_shell
-from . import router
+from . import router, task_scheduler
+from . import scheduler as scheduler_shell
 from .api import make_handle
 from .errors import START_FAILED, CornelwardError
 from .http_client import HttpClient
@@ -18,9 +20,11 @@
 from .metrics import new_metrics
 from .peers import Peers
 from .platform_client import connect_platform
+from .scheduler_metrics import add_collector, new_instruments
 from .upstream_client import connect_upstream
+from .worker_client import connect_workers
 
-__all__ = ["Common", "build_common", "build_entry"]
+__all__ = ["Common", "build_common", "build_entry", "build_scheduler"]
 
 
 class Common(NamedTuple):
@@ -114,3 +118,37 @@
     holder.append(entry)
     entry_shell.start(entry)
     return entry
+
+
+def build_scheduler(cfg, loop=None, core=task_scheduler):
+    """Return a scheduler that is bound and starts with its loop."""
+    holder = []
+    common = build_common(
+        cfg,
+        lambda call: holder[0].handle(call),
+        lambda envelope: holder[0].on_message(envelope),
+        loop,
+    )
+    identity = scheduler_shell.Identity(
+        cfg["id"],
+        common.incarnation,
+        cfg["failure_domain"],
+        cfg["region"],
+        common.peers.address,
+        common.server.address,
+    )
+    registry = common.metrics.registry
+    instruments = new_instruments(registry)
+    # An answer later than the renewal interval is worth no more than the next one.
+    workers = connect_workers(
+        common.client, cfg["worker_renew_s"], instruments.observe_worker
+    )
+    rng = random.Random(os.urandom(16))
+    scheduler = scheduler_shell.Scheduler(
+        common, core, identity, rng, workers, instruments
+    )
+    if core is task_scheduler:
+        add_collector(registry, scheduler.state, common.loop.now)
+    holder.append(scheduler)
+    scheduler_shell.start(scheduler)
+    return scheduler
--- /dev/null
+++ b/cornelward/scheduler_metrics.py
@@ -0,0 +1,106 @@
+"""Prometheus instruments of a scheduler.
+
+What the core already counts is read when the metrics are asked for, so that it costs
+nothing otherwise.
+"""
+
+from collections import Counter as Tally
+from typing import NamedTuple
+
+from prometheus_client import Counter, Histogram
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+from .ownership import OWNER
+
+__all__ = ["Instruments", "add_collector", "new_instruments"]
+
+LAG_BUCKETS_S = (0.001, 0.005, 0.02, 0.1, 0.5, 2, 10)
+
+
+class Instruments(NamedTuple):
+    """``observe_lag(seconds)`` and ``observe_worker(operation, outcome)``."""
+
+    observe_lag: object
+    observe_worker: object
+
+
+def new_instruments(registry):
+    """Return the instruments that are updated as things happen."""
+    lag = Histogram(
+        "cornelward_loop_lag_seconds",
+        "How late the coarse timer ran.",
+        buckets=LAG_BUCKETS_S,
+        registry=registry,
+    )
+    calls = Counter(
+        "cornelward_worker_calls",
+        "Calls to workers, by operation and outcome.",
+        ["operation", "outcome"],
+        registry=registry,
+    )
+    # labels() takes a lock and builds a key on each call; children are kept instead.
+    children = {}
+
+    def observe_worker(operation, outcome):
+        key = operation, outcome
+        child = children.get(key)
+        if child is None:
+            child = children[key] = calls.labels(operation, outcome)
+        child.inc()
+
+    return Instruments(lag.observe, observe_worker)
+
+
+class _StateCollector(Collector):
+    """Reads the core's state."""
+
+    def __init__(self, state, clock):
+        self._state = state
+        self._clock = clock
+
+    def collect(self):
+        own = self._state.own
+        is_owner = own.role == OWNER
+        yield _gauge("owner", "1 while this scheduler owns the workers.", is_owner)
+        yield _gauge("owner_epoch", "Epoch of the ownership.", own.epoch)
+        if is_owner:
+            age_s = self._clock() - (own.authority_until - own.lease_s)
+            text = "Time since the last successful renewal was sent."
+            yield _gauge("owner_lease_age_seconds", text, age_s)
+        yield from _collect_work(self._state)
+
+
+def _gauge(name, text, value):
+    return GaugeMetricFamily(f"cornelward_{name}", text, value=float(value))
+
+
+def _collect_work(state):
+    tasks = GaugeMetricFamily(
+        "cornelward_tasks", "Tasks of active jobs, by state.", labels=["state"]
+    )
+    for name, count in Tally(t.state for t in state.jobs.tasks.values()).items():
+        tasks.add_metric([name], count)
+    yield tasks
+    for name, count in state.stats.items():
+        text = f"Count of {name} since the start of the process."
+        yield CounterMetricFamily(f"cornelward_scheduler_{name}", text, value=count)
+    accepting = [w for w in state.workers.by_id.values() if w.accepts]
+    text = "Workers that accept new tasks."
+    yield _gauge("workers_accepting", text, len(accepting))
+    packing = GaugeMetricFamily(
+        "cornelward_packing_ratio",
+        "Charged share of the capacity of accepting workers.",
+        labels=["resource"],
+    )
+    for name in ("cpu", "memory_mb", "accelerators"):
+        total = sum(getattr(w.capacity, name) for w in accepting)
+        free = sum(getattr(w.free, name) for w in accepting)
+        if total:
+            packing.add_metric([name], 1 - free / total)
+    yield packing
+
+
+def add_collector(registry, state, clock):
+    """Add the metrics that are read from the core's state; ``clock()`` in seconds."""
+    registry.register(_StateCollector(state, clock))
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -157,7 +157,7 @@
     """Serve one more worker on a port of its own; returns its Machine."""
     machine = _make_machine(cfg, index)
     handle = make_handler(loop, machine)
-    server = HttpServer(loop, ("127.0.0.1", 0), handle, channel=f"worker-{index}")
+    server = HttpServer(loop, ("127.0.0.1", 0), handle)
     if cfg["platform_address"]:
         register(loop, client, cfg, machine, server.address)
     return machine
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -12,6 +12,7 @@
 
 CAPACITY = {"cpu": 4, "memory_mb": 1_000, "accelerators": 0}
 OWNER = {"epoch": 2, "owner": "s1", "lease_until_ms": 0, "ack": []}
+LIMIT_S = 20
 FAR_MS = worker_tasks.CLOCK_OFFSET_MS * 1_000
 
 
@@ -42,8 +43,7 @@
         answers = []
         call = getattr(workers, operation)
         call(address, body, lambda status, body: answers.append((status, body)))
-        while not answers:
-            loop.tick(0.05)
+        assert loop.run_until(lambda: answers, LIMIT_S)
         return answers[0]
 
     ask.loop = loop
@@ -53,8 +53,7 @@
 
 def test_task_runs_and_is_reported_until_acknowledged(ask, machine):
     assert_that(ask("start", start_body("t1", ms=5)), Equals((200, {})))
-    while machine.running:
-        ask.loop.tick(0.05)
+    assert ask.loop.run_until(lambda: not machine.running, LIMIT_S)
     finished = ask("renew", OWNER)[1]["finished"]
     assert_that(finished[0], ContainsDict({"task": Equals("t1"), "ok": Is(True)}))
     assert_that(ask("renew", OWNER)[1]["finished"], HasLength(1))
