--- a/cornelward/compose.py
+++ b/cornelward/compose.py
@@ -20,6 +20,7 @@
 from .metrics import new_metrics
 from .peers import Peers
 from .platform_client import connect_platform
+from .scheduler_metrics import add_collector, new_instruments
 from .upstream_client import connect_upstream
 from .worker_client import connect_workers
 
@@ -133,9 +134,18 @@
     """Return a scheduler that is bound and starts with its loop."""
     holder = []
     common = _build_common_for(holder, cfg, loop)
+    registry = common.metrics.registry
+    instruments = new_instruments(registry)
+    # An answer later than the renewal interval is worth no more than the next one.
+    workers = connect_workers(
+        common.client, cfg["worker_renew_s"], instruments.observe_worker
+    )
     rng = random.Random(os.urandom(16))
-    workers = connect_workers(common.client, cfg["platform_timeout_s"])
-    scheduler = scheduler_shell.Scheduler(common, core, _identity(common), rng, workers)
+    scheduler = scheduler_shell.Scheduler(
+        common, core, _identity(common), rng, workers, instruments
+    )
+    if core is task_scheduler:
+        add_collector(registry, scheduler.state, common.loop.now)
     holder.append(scheduler)
     scheduler_shell.start(scheduler)
     return scheduler
--- a/cornelward/scheduler.py
+++ b/cornelward/scheduler.py
@@ -4,7 +4,7 @@
 the settings are bad and with 3 when the process could not start.
 """
 
-from . import config_follow, task_scheduler
+from . import config_follow
 from .api import serve_common
 from .errors import NOT_FOUND, PlatformError, RequestError
 from .log import get_logger
@@ -13,142 +13,116 @@
 from .process import run_process
 from .settings import SCHEDULER
 
-__all__ = ["Scheduler", "main", "start"]
+__all__ = ["Scheduler", "begin_leave", "main", "start"]
 
 log = get_logger("scheduler")
 
-DRAIN_CHECK_S = 0.25
-MIN_WAKEUP_S = 0.01
-
 
 class Scheduler:
-    """State of one scheduler process."""
+    """State of one scheduler process.
+
+    ``core`` is the module ``task_scheduler`` or a fake of it; ``instruments`` are the
+    scheduler's own metrics.
+    """
 
-    def __init__(self, common, core, identity, rng, workers):
+    def __init__(self, common, core, identity, rng, workers, instruments):
         self.cfg = common.cfg
         self.common = common
-        self.core = core
         self.loop = common.loop
         self.metrics = common.metrics
+        self.instruments = instruments
         self.platform = common.platform
         self.workers = workers
+        self.core = core
         self.identity = identity
         self.state = core.new_scheduler(common.cfg, identity, rng)
-        # Peer addresses of the entries in the failure domain's view.
-        self.peers = []
         self.follower = config_follow.ConfigFollower(
             common.cfg,
             common.platform,
-            lambda: self.peers,
+            # Entries learn of versions from each other; a scheduler polls, and asks
+            # its seeds while the platform is down.
+            list,
             common.peers.send,
             lambda document: config_changed(self, document),
         )
         self.members_known = False
         self.leaving = False
         self.leave_by = None
-        self.wakeup = None
-        self.role = ""
 
     def handle(self, call):
-        """Serve one HTTP call."""
+        """Serve one HTTP request."""
         if not serve_common(call, self):
             text = f"no route {call.request.method} {call.request.path}"
             raise RequestError(NOT_FOUND, text)
 
     def on_message(self, envelope):
-        """Take a message of another process."""
+        """Take a message of a peer."""
         message = envelope.message
         if isinstance(message, ConfigAnnounce | ConfigRequest):
             config_follow.receive(self.follower, envelope)
         elif isinstance(message, JobNotice):
-            run(self, self.core.notice(self.state, self.loop.now(), message.job_id))
+            deliver(self, self.core.notice, message.job_id)
 
     def is_ready(self):
-        """Return whether this process can own or take over its failure domain."""
+        """Return whether this process can own the workers of its failure domain."""
         has_config = self.follower.document["version"] > 0
         return has_config and self.members_known and not self.leaving
 
     def dump(self):
         """Return the whole state, JSON-ready."""
+        identity = self.identity
         return {
-            "id": self.identity.id,
-            "incarnation": self.identity.incarnation,
-            "failure_domain": self.identity.failure_domain,
-            "region": self.identity.region,
+            "id": identity.id,
+            "failure_domain": identity.failure_domain,
+            "region": identity.region,
+            "incarnation": identity.incarnation,
+            "peer_address": identity.peer_address,
             "ready": self.is_ready(),
             "leaving": self.leaving,
+            "config_version": self.follower.document["version"],
             "scheduler": self.core.dump(self.state, self.loop.now()),
         }
 
 
-def run(scheduler, effects):
-    """Carry out the core's effects in order."""
+def deliver(scheduler, event, *args):
+    """Call an event of the core with the present time and carry out its effects."""
+    effects = event(scheduler.state, scheduler.loop.now(), *args)
     for effect in effects:
-        EFFECTS[type(effect)](scheduler, effect)
-    _observe(scheduler)
-    _arm_wakeup(scheduler)
-
+        EFFECTS[type(effect).__name__](scheduler, effect)
 
-def _observe(scheduler):
-    role = scheduler.state.own.role
-    if role != scheduler.role:
-        scheduler.role = role
-        epoch = scheduler.state.own.epoch
-        log("info", "role_changed", role=role, epoch=epoch)
 
-
-def _arm_wakeup(scheduler):
-    if scheduler.wakeup is not None:
-        scheduler.loop.cancel(scheduler.wakeup)
-    at = scheduler.core.next_wakeup(scheduler.state)
-    limit_s = scheduler.cfg["tick_s"]
-    delay_s = limit_s if at is None else min(limit_s, at - scheduler.loop.now())
-
-    def tick():
-        scheduler.wakeup = None
-        run(scheduler, scheduler.core.tick(scheduler.state, scheduler.loop.now()))
-
-    delay_s = max(MIN_WAKEUP_S, delay_s)
-    scheduler.wakeup = scheduler.loop.call_later(delay_s, tick)
+def _answer(result):
+    """Return the core's form of a platform answer: None stands for a failure."""
+    return None if isinstance(result, PlatformError) else result
 
 
 def _read_row(scheduler, effect):
     sent_at = scheduler.loop.now()
 
-    def done(row):
-        row = None if isinstance(row, PlatformError) else row
-        now = scheduler.loop.now()
-        core = scheduler.core
-        run(scheduler, core.row_read(scheduler.state, now, sent_at, effect.key, row))
+    def read(row):
+        deliver(scheduler, scheduler.core.row_read, sent_at, effect.key, _answer(row))
 
-    scheduler.platform.get(effect.key, done)
+    scheduler.platform.get(effect.key, read)
 
 
 def _list_rows(scheduler, effect):
     sent_at = scheduler.loop.now()
 
-    def done(rows):
-        rows = None if isinstance(rows, PlatformError) else rows
-        now = scheduler.loop.now()
-        effects = scheduler.core.rows_listed(
-            scheduler.state, now, sent_at, effect.prefix, rows
-        )
-        run(scheduler, effects)
+    def listed(rows):
+        event = scheduler.core.rows_listed
+        deliver(scheduler, event, sent_at, effect.prefix, _answer(rows))
 
-    scheduler.platform.list_rows(effect.prefix, done)
+    scheduler.platform.list_rows(effect.prefix, listed)
 
 
 def _txn(scheduler, effect):
     sent_at = scheduler.loop.now()
 
     def done(result):
-        if not isinstance(result, dict | Conflict):
-            result = None
-        now = scheduler.loop.now()
-        effects = scheduler.core.txn_done(
-            scheduler.state, now, sent_at, effect.txn_id, result
-        )
-        run(scheduler, effects)
+        if isinstance(result, Conflict):
+            log("debug", "conflict", versions=result.versions)
+        event = scheduler.core.txn_done
+        deliver(scheduler, event, sent_at, effect.txn_id, _answer(result))
 
     scheduler.platform.txn(effect.checks, effect.puts, effect.deletes, done)
 
@@ -157,11 +131,8 @@
     sent_at = scheduler.loop.now()
 
     def done(status, body):
-        now = scheduler.loop.now()
-        effects = scheduler.core.lease_reply(
-            scheduler.state, now, sent_at, effect.worker, status, body
-        )
-        run(scheduler, effects)
+        event = scheduler.core.lease_reply
+        deliver(scheduler, event, sent_at, effect.worker, status, body)
 
     scheduler.workers.renew(effect.address, effect.body, done)
 
@@ -171,18 +142,16 @@
     task, attempt = effect.body["task"], effect.body["attempt"]
 
     def done(status, body):
-        now = scheduler.loop.now()
-        effects = scheduler.core.start_reply(
-            scheduler.state, now, sent_at, effect.worker, task, attempt, status, body
-        )
-        run(scheduler, effects)
+        event = scheduler.core.start_reply
+        deliver(scheduler, event, sent_at, effect.worker, task, attempt, status, body)
 
+    # Time passes while a batch of effects is carried out: a command must not leave
+    # after the authority ended. The core counts it as unanswered.
     if not scheduler.core.may_send(scheduler.state, sent_at):
-        # The lease ended since the core decided; the task stays ``starting`` and the
-        # worker's next report settles it.
+        log("warning", "start_withheld", task=task, attempt=attempt)
         scheduler.loop.call_soon(lambda: done(None, None))
         return
-    log("info", "task_start", task=task, attempt=attempt, worker=effect.worker)
+    log("debug", "start_sent", task=task, attempt=attempt, worker=effect.worker)
     scheduler.workers.start(effect.address, effect.body, done)
 
 
@@ -191,12 +160,12 @@
 
 
 EFFECTS = {
-    task_scheduler.ReadRow: _read_row,
-    task_scheduler.ListRows: _list_rows,
-    task_scheduler.Txn: _txn,
-    task_scheduler.RenewWorker: _renew_worker,
-    task_scheduler.StartTask: _start_task,
-    task_scheduler.SignalTask: _signal_task,
+    "ReadRow": _read_row,
+    "ListRows": _list_rows,
+    "Txn": _txn,
+    "RenewWorker": _renew_worker,
+    "StartTask": _start_task,
+    "SignalTask": _signal_task,
 }
 
 
@@ -207,60 +176,71 @@
     config_follow.start(scheduler.follower, loop)
     poll_members(scheduler)
     loop.call_every(cfg["members_poll_s"], lambda: poll_members(scheduler))
-    run(scheduler, scheduler.core.tick(scheduler.state, loop.now()))
+    schedule_tick(scheduler)
     loop.on_signal(lambda signo: begin_leave(scheduler))
     log("info", "started", http=scheduler.identity.http_address)
 
 
+def schedule_tick(scheduler):
+    """Run the core's tick every ``tick_s``.
+
+    The core's wake-ups are rounded up to it: the renewals of 137 workers would
+    otherwise wake the process some 70 times a second.
+    """
+    due = scheduler.loop.now() + scheduler.cfg["tick_s"]
+
+    def tick():
+        scheduler.instruments.observe_lag(scheduler.loop.now() - due)
+        try:
+            deliver(scheduler, scheduler.core.tick)
+        finally:
+            schedule_tick(scheduler)
+
+    scheduler.loop.call_later(scheduler.cfg["tick_s"], tick)
+
+
 def poll_members(scheduler):
-    """Read the platform's list of instances, and the entries to ask in an outage."""
+    """Read the platform's list of instances."""
 
     def read(instances):
         if isinstance(instances, PlatformError):
             return
         scheduler.members_known = True
-        now = scheduler.loop.now()
-        core = scheduler.core
-        run(scheduler, core.update_members(scheduler.state, now, instances))
-
-    def view_read(row):
-        if not isinstance(row, PlatformError) and row.version:
-            members = row.value["members"].values()
-            scheduler.peers = [member["address"] for member in members]
+        deliver(scheduler, scheduler.core.update_members, instances)
 
     scheduler.platform.members(read)
-    if not scheduler.peers:
-        domain = scheduler.identity.failure_domain
-        scheduler.platform.get(f"views/{domain}", view_read)
 
 
 def config_changed(scheduler, document):
     """Put an adopted configuration in force."""
-    version, objects = document["version"], document["objects"]
+    version = document["version"]
     scheduler.metrics.config_version.set(version)
-    now = scheduler.loop.now()
-    core = scheduler.core
-    run(scheduler, core.update_config(scheduler.state, now, version, objects))
+    deliver(scheduler, scheduler.core.update_config, version, document["objects"])
 
 
 def begin_leave(scheduler):
-    """Start a graceful shutdown; running tasks stay under their leases."""
+    """Start a graceful shutdown; a second signal changes nothing."""
     if scheduler.leaving:
         return
     scheduler.leaving = True
-    scheduler.leave_by = scheduler.loop.now() + scheduler.cfg["shutdown_timeout_s"]
+    now = scheduler.loop.now()
+    scheduler.leave_by = now + scheduler.cfg["shutdown_timeout_s"]
     log("info", "leaving")
-    run(scheduler, scheduler.core.leave(scheduler.state, scheduler.loop.now()))
-    _drain(scheduler)
+    deliver(scheduler, scheduler.core.leave)
+    _finish_leave(scheduler)
 
 
-def _drain(scheduler):
+def _finish_leave(scheduler):
+    """Stop once the table writes are done and the owner row is given up."""
     late = scheduler.loop.now() >= scheduler.leave_by
     if late or scheduler.core.has_left(scheduler.state):
-        log("warning" if late else "info", "stopped", timeout=late)
+        if late:
+            log("warning", "shutdown_timeout")
+        log("info", "stopped")
+        scheduler.common.server.stop_accepting()
         scheduler.loop.stop()
         return
-    scheduler.loop.call_later(DRAIN_CHECK_S, lambda: _drain(scheduler))
+    scheduler.loop.call_later(scheduler.cfg["tick_s"], lambda: _finish_leave(scheduler))
 
 
 def main(argv=None):
