--- a/tools/bench_requests.py
+++ b/tools/bench_requests.py
@@ -19,7 +19,7 @@
 from cornelward.verdicts import Verdict
 
 from .baselines import Replay, replay_fifo
-from .traces import Trace, laurentides_morning, shahidi_month_end
+from .traces import Trace, laurentides_morning, one_domain, shahidi_month_end
 
 __all__ = ["decision_cost", "figures", "main", "replay_router"]
 
@@ -363,7 +363,12 @@
 
 def main():
     """Print one table for each trace, and the cost of a routing decision."""
-    for trace in (laurentides_morning(), shahidi_month_end()):
+    for trace in (
+        laurentides_morning(),
+        shahidi_month_end(),
+        one_domain(),
+        one_domain(load=1.2),
+    ):
         ours = figures(trace, replay_router(trace))
         baseline = figures(trace, replay_fifo(trace, time.perf_counter))
         print(f"{trace.name}: {len(trace.arrivals)} requests, seeded")
--- a/tools/traces.py
+++ b/tools/traces.py
@@ -6,7 +6,13 @@
 import random
 from typing import NamedTuple
 
-__all__ = ["Arrival", "Trace", "laurentides_morning", "shahidi_month_end"]
+__all__ = [
+    "Arrival",
+    "Trace",
+    "laurentides_morning",
+    "one_domain",
+    "shahidi_month_end",
+]
 
 EXECUTORS = 24
 SLOTS = 8
@@ -124,3 +130,28 @@
         ("confirmation", "bundle"),
         sorted(arrivals),
     )
+
+
+def one_domain(seed=3, load=0.8):
+    """Steady short calls on eight entries that own different numbers of executors.
+
+    Shows what lending slots between entries costs, and whether it is fair.
+    """
+    rng = random.Random(seed)
+    mean_s = 0.1
+    arrivals = [
+        Arrival(at, "laurentides", "quote", _run_time(rng, mean_s, 0), 2.0, 6.0)
+        for at in _poisson(rng, 0, 8, load * EXECUTORS * SLOTS / mean_s)
+    ]
+    return Trace(
+        f"one domain at {load:g} of capacity",
+        "quotes",
+        {"laurentides": ["laurentides"]},
+        EXECUTORS,
+        SLOTS,
+        8,
+        {"spill": "none"},
+        (2, 8),
+        ("quote",),
+        arrivals,
+    )
