Keep an idle credit for 20 ms before it is returned

An entry that owns few executors borrowed a slot for each request: request, grant and return, 1.67 messages a request at 0.8 of the capacity in one domain. A credit that is idle is now kept for the next request, unless its owner reported a queue.

--- a/cornelward/borrowing.py
+++ b/cornelward/borrowing.py
@@ -30,6 +30,9 @@
 # counts from when the request was sent, so part of the credit's time must be left.
 DEMAND_S = 0.4
 MAX_CREDITS_ASKED = 64
+# An idle credit is kept this long for the next request, unless its owner has a queue:
+# without it, each borrowed slot costs three messages a request.
+IDLE_CREDIT_S = 0.02
 
 
 class Lease(NamedTuple):
@@ -38,6 +41,7 @@
     credit: Credit
     owner: tuple
     usable_until: float
+    idle_until: float
 
 
 class Demand(NamedTuple):
@@ -161,20 +165,20 @@
         if key in state.seen_credits:
             continue
         state.seen_credits[key] = usable_until
-        lease = Lease(credit, (sender, incarnation), usable_until)
+        idle_until = min(usable_until, now + IDLE_CREDIT_S)
+        lease = Lease(credit, (sender, incarnation), usable_until, idle_until)
         if now < usable_until:
-            service.credits[grant.cls].append(lease)
+            service.credits[grant.cls].appendleft(lease)
         else:
             state.unused.append(lease)
 
 
 def return_unused(state, now, service):
-    """Return credits that no request needs; returns effects."""
-    for cls in (SHORT, LONG):
-        credits = service.credits[cls]
-        if credits and not service.queues[cls].count:
-            state.unused.extend(credits)
-            credits.clear()
+    """Return credits that were idle for their time; returns effects."""
+    for credits in service.credits.values():
+        # The oldest is at the right.
+        while credits and not _keeps(state, now, service, credits[-1]):
+            state.unused.append(credits.pop())
     by_owner = {}
     for lease in state.unused:
         by_owner.setdefault(lease.owner, []).append(lease.credit.credit_id)
@@ -187,6 +191,25 @@
     return effects
 
 
+def _keeps(state, now, service, lease):
+    return now < lease.idle_until and not state.peer_queued.get(
+        (lease.owner[0], service.name)
+    )
+
+
+def next_return(state):
+    """Return when the next idle credit is due, in monotonic seconds."""
+    return min(
+        (
+            credits[-1].idle_until
+            for service in state.services.values()
+            for credits in service.credits.values()
+            if credits
+        ),
+        default=float("inf"),
+    )
+
+
 def forget_seen(state, now):
     """Forget credits whose time is over."""
     old = [key for key, until in state.seen_credits.items() if now >= until]
--- a/cornelward/router.py
+++ b/cornelward/router.py
@@ -96,7 +96,9 @@
         self.seen_credits = {}
         self.asked = {}
         self.demands = {}
+        # (entry, service) to what its last heartbeat said.
         self.peer_free = {}
+        self.peer_queued = {}
         self.counts = {}
         self.seq = 0
         self.heartbeat_at = float("-inf")
@@ -186,6 +188,7 @@
     for service in state.services:
         key = envelope.sender, service
         state.peer_free[key] = message.free_slots.get(service, 0)
+        state.peer_queued[key] = message.queued.get(service, 0)
     borrowing.on_heartbeat_credits(state, now, envelope)
     catalog.refresh_claims(state)
     return effects
@@ -372,7 +375,8 @@
         for executor in state.slots.owned.values()
         if not executor.ready and executor.claim_at is not None
     ]
-    return min(state.heartbeat_at, state.read_at, *claims)
+    returns = borrowing.next_return(state)
+    return min(state.heartbeat_at, state.read_at, returns, *claims)
 
 
 # Shutdown
--- a/tests/fixtures_router.py
+++ b/tests/fixtures_router.py
@@ -148,7 +148,8 @@
     def tick(self, node):
         if node.alive:
             self.call(node, router.tick)
-            self.at(0.25, self.tick, node)
+            due = router.next_wakeup(node.state) - self.now - node.offset
+            self.at(min(0.25, max(0.01, due)), self.tick, node)
 
     def call(self, node, event, *args):
         """Run an event on a router now, or when its pause ends."""
