Lend slots to entries whose queue is longer

Owners served their own queue first, so entries with few executors refused nearly all of the overload while others refused none: at 1.2 of the capacity in one domain between 0 and 987 refusals an entry.

--- a/cornelward/borrowing.py
+++ b/cornelward/borrowing.py
@@ -16,6 +16,7 @@
     "balance",
     "borrow",
     "free_now",
+    "lend_first",
     "on_grant",
     "on_heartbeat_credits",
     "on_request",
@@ -30,6 +31,9 @@
 # counts from when the request was sent, so part of the credit's time must be left.
 DEMAND_S = 0.4
 MAX_CREDITS_ASKED = 64
+# A peer is served before the own queue if its queue is longer by these.
+LEND_RATIO = 1.25
+LEND_MARGIN = 4
 # An idle credit is kept this long for the next request, unless its owner has a queue:
 # without it, each borrowed slot costs three messages a request.
 IDLE_CREDIT_S = 0.02
@@ -95,7 +99,8 @@
     if service is None or request.cls not in (SHORT, LONG):
         return []
     demand = Demand(sender, incarnation, request, now + DEMAND_S)
-    granted, effects = _grant(state, now, service, demand)
+    spare = 0 if service.queues[request.cls].count else request.count
+    granted, effects = _grant(state, now, service, demand, spare)
     if granted < request.count:
         left = request._replace(count=request.count - granted)
         key = sender, request.service, request.cls
@@ -103,17 +108,36 @@
     return effects
 
 
-def _grant(state, now, service, demand):
+def lend_first(state, now, service, cls):
+    """Grant a free slot to a peer whose queue is longer; returns effects.
+
+    Entries own different numbers of executors, but get about the same load.
+    """
+    if not state.demands:
+        return []
+    own = sum(queue.count for queue in service.queues.values())
+    limit = own * LEND_RATIO + LEND_MARGIN
+    for key in list(state.demands):
+        queued = state.peer_queued.get((key[0], service.name), 0)
+        if key[1:] == (service.name, cls) and queued > limit:
+            effects = _serve(state, now, service, key, 1)
+            if effects:
+                state.peer_queued[key[0], service.name] = queued - 1
+                return effects
+    return []
+
+
+def _grant(state, now, service, demand, count):
     """Return (number granted, effects)."""
     request = demand.request
     ttl_s = min(CREDIT_TTL_S, state.view.authority_until - now)
-    if ttl_s <= 0 or service.queues[request.cls].count:
+    if ttl_s <= 0:
         return 0, []
     credits = slots.grant(
         state.slots,
         service.name,
         request.cls,
-        request.count,
+        min(count, request.count),
         (demand.peer, demand.incarnation),
         now + ttl_s,
     )
@@ -128,20 +152,20 @@
     """Grant slots that became free to peers that asked before; returns effects."""
     effects = []
     for cls in (SHORT, LONG):
-        if not state.slots.free.get((service.name, cls)):
+        if service.queues[cls].count or not state.slots.free.get((service.name, cls)):
             continue
         for key in [key for key in state.demands if key[1:] == (service.name, cls)]:
-            effects += _serve(state, now, service, key)
+            effects += _serve(state, now, service, key, MAX_CREDITS_ASKED)
     return effects
 
 
-def _serve(state, now, service, key):
+def _serve(state, now, service, key, count):
     demand = state.demands[key]
     member = state.view.members.get(demand.peer)
     if now >= demand.until or member is None or member[1] != demand.incarnation:
         del state.demands[key]
         return []
-    granted, effects = _grant(state, now, service, demand)
+    granted, effects = _grant(state, now, service, demand, count)
     count = demand.request.count - granted
     if count <= 0:
         del state.demands[key]
--- a/cornelward/routing.py
+++ b/cornelward/routing.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from . import classes, errors, slots, views
-from .borrowing import IDLE_CREDIT_S
+from .borrowing import IDLE_CREDIT_S, lend_first
 from .classes import LONG, SHORT
 from .queues import (
     FORWARDED,
@@ -150,9 +150,9 @@
             effects.append(_refuse(state, work, errors.DEADLINE_EXCEEDED, message))
     while True:
         for cls in _class_order(service, now):
-            effect = _start_next(state, now, service, cls)
-            if effect is not None:
-                effects.append(effect)
+            started = _start_next(state, now, service, cls)
+            if started:
+                effects += started
                 break
         else:
             return effects
@@ -172,11 +172,13 @@
 def _start_next(state, now, service, cls):
     slot = _find_slot(state, now, service, cls)
     if slot is None:
-        return None
+        return []
+    if slot[0] is not None:
+        lent = lend_first(state, now, service, cls)
+        if lent:
+            return lent
     work = pop_work(service.queues[cls], now)
-    if work is None:
-        return None
-    return start(state, now, work, slot)
+    return [] if work is None else [start(state, now, work, slot)]
 
 
 def _find_slot(state, now, service, cls):
