Answer without an event; close when an answer cannot be sent

Cause: each request fired nine circuits events, among them three for each answer and two that report the end of the request event. An answer with a bad header left its caller waiting for ever. Change: answers are sent by a call; the request event reports nothing; a failed answer closes the connection.

--- a/cornelward/http_server.py
+++ b/cornelward/http_server.py
@@ -13,7 +13,7 @@
 from circuits import BaseComponent, handler
 from circuits.net.sockets import TCPServer
 from circuits.web import wrappers
-from circuits.web.events import request, response
+from circuits.web.events import request
 from circuits.web.headers import Headers
 from circuits.web.http import HTTP
 
@@ -266,15 +266,23 @@
         res.close = not framed.keep_alive
 
         def finish(status, body, content_type, headers):
-            res.status = status
-            res.body = body
-            res.headers["Content-Type"] = content_type
-            for name, value in headers:
-                res.headers[name] = value
-            self.fire(response(res))
+            try:
+                res.status = status
+                res.body = body
+                res.headers["Content-Type"] = content_type
+                for name, value in headers:
+                    res.headers[name] = value
+                self._respond(res)
+            except Exception as exc:
+                # Without its answer the caller would wait for ever.
+                log("error", "answer_failed", path=framed.path, exc=repr(exc))
+                self._close(sock)
 
         conn.call = Call(framed, finish)
-        self.fire(request(req, res))
+        event = request(req, res)
+        # Nothing listens to the three events that would report its end.
+        event.success = event.failure = event.complete = False
+        self.fire(event)
 
     @handler("request")
     def _on_request(self, event, req, res):
@@ -293,8 +301,7 @@
             call.answer(500, body)
         return True
 
-    @handler("response", override=True)
-    def _on_response(self, res):
+    def _respond(self, res):
         sock = res.request.sock
         conn = self.connections.get(sock)
         if conn is None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -244,6 +244,18 @@
     assert_that(caller.received, Not(Contains(b"Traceback")))
 
 
+@pytest.mark.parametrize("late", [False, True])
+def test_answer_that_cannot_be_sent_closes_the_connection(site, late):
+    caller = site.connect()
+    if not late:
+        site.handle = lambda call: call.answer(200, b"a", headers=[("X", None)])
+    caller.send(post("/a", b""))
+    if late:
+        site.until(lambda: site.calls)
+        site.calls[0].answer("not a status", b"a")
+    caller.until(lambda: caller.poll().closed)
+
+
 @pytest.mark.proof
 def test_late_answers_never_reach_another_connection(site):
     """Callers come and go in random order while answers are late."""
