Forget cancelled timers; do not run one that is cancelled when due

Cause: each request's deadline stayed in the heap until it was due, although nearly all are cancelled; a timer that was due in the same turn as its cancellation still ran, so that a late timeout could close the connection of the next request. Change: the heap is rebuilt when most of it is cancelled; a due timer is checked again right before it runs.

--- a/cornelward/loop.py
+++ b/cornelward/loop.py
@@ -4,6 +4,7 @@
 every turn; here one component keeps all timers in a heap.
 """
 
+import functools
 import heapq
 import itertools
 import signal as signals
@@ -15,6 +16,9 @@
 
 __all__ = ["Loop"]
 
+# Below this many cancelled timers the heap is not rebuilt.
+MIN_CANCELLED = 1_000
+
 
 class call(Event):  # noqa: N801
     """Runs a function on the next turn of the loop."""
@@ -28,6 +32,7 @@
     def __init__(self):
         super().__init__(channel="loop")
         self._timers = []
+        self._cancelled = 0
         self._order = itertools.count()
         self._on_signal = None
         self.poller = EPoll().register(self)
@@ -44,7 +49,15 @@
 
     def cancel(self, timer):
         """Cancel a handle of ``call_later``; cancelling twice does nothing."""
+        if timer[2] is None:
+            return
         timer[2] = None
+        self._cancelled += 1
+        # Deadlines are mostly cancelled long before they are due.
+        if self._cancelled > MIN_CANCELLED and self._cancelled * 2 > len(self._timers):
+            self._timers[:] = [item for item in self._timers if item[2] is not None]
+            heapq.heapify(self._timers)
+            self._cancelled = 0
 
     def call_soon(self, function):
         """Run ``function()`` on the next turn."""
@@ -90,13 +103,24 @@
         if self._on_signal and signo in (signals.SIGTERM, signals.SIGINT):
             self._on_signal(signo)
 
+    def _run_timer(self, timer):
+        """Run a timer that is due, unless it was cancelled within this turn.
+
+        A late timeout would otherwise close the connection of the next request.
+        """
+        function, timer[2] = timer[2], None
+        if function is not None:
+            function()
+
     @handler("generate_events")
     def _on_generate_events(self, event):
         now = time.monotonic()
         timers = self._timers
         while timers and (timers[0][2] is None or timers[0][0] <= now):
-            function = heapq.heappop(timers)[2]
-            if function is not None:
-                self.fire(call(function))
+            timer = heapq.heappop(timers)
+            if timer[2] is None:
+                self._cancelled -= 1
+            else:
+                self.fire(call(functools.partial(self._run_timer, timer)))
         if timers:
             event.reduce_time_left(max(0.0, timers[0][0] - now))
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,5 +1,7 @@
 """Guards the timers: order, cancellation, repetition after a failure."""
 
+import time
+
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
@@ -41,3 +43,24 @@
 
     loop.call_every(0.01, fail)
     assert_that(loop.run_until(lambda: len(ran) >= 3, LIMIT_S), Equals(True))
+
+
+def test_timer_cancelled_while_it_is_due_does_not_run(loop):
+    # The timeout of an answered request once closed the next one's connection.
+    ran, timers = [], []
+    loop.call_later(0.01, lambda: loop.cancel(timers[0]))
+    timers.append(loop.call_later(0.01, lambda: ran.append("cancelled")))
+    loop.call_later(0.02, lambda: ran.append("kept"))
+    loop.run_until(lambda: False, 0.0)
+    time.sleep(0.015)
+    assert loop.run_until(lambda: ran, LIMIT_S)
+    assert_that(ran, Equals(["kept"]))
+
+
+def test_cancelled_timers_do_not_pile_up(loop):
+    # Deadlines of answered requests once stayed in memory until they were due.
+    kept = loop.call_later(3_600, lambda: None)
+    for _ in range(20_000):
+        loop.cancel(loop.call_later(3_600, lambda: None))
+    assert len(loop._timers) < 3_000
+    assert kept in loop._timers
