Keep circuits' descriptors in sets

Cause: circuits searches lists of sockets several times for each event, so that an entry slowed down with the number of open connections. Change: the poller's and the server's lists of sockets are sets.

--- a/cornelward/http_server.py
+++ b/cornelward/http_server.py
@@ -20,6 +20,7 @@
 from .errors import INTERNAL, STATUS_OF_CODE, CornelwardError
 from .http_framing import FramingError, RequestFramer
 from .log import get_logger
+from .loop import DescriptorSet
 from .verdicts import Verdict
 
 __all__ = ["Call", "HttpServer", "Limits", "error_body"]
@@ -373,6 +374,8 @@
         channel = f"web{next(_channel_numbers)}"
         super().__init__(channel=channel)
         self.server = TCPServer(bind, channel=channel, bufsize=65_536).register(self)
+        self.server._clients = DescriptorSet()
+        self.server._closeq = DescriptorSet()
         self.http = _GuardedHTTP(self, handle, limits or Limits(), channel)
         self.http.register(self)
         self.register(loop)
--- a/cornelward/loop.py
+++ b/cornelward/loop.py
@@ -14,7 +14,7 @@
 from circuits.core.events import started
 from circuits.core.pollers import EPoll
 
-__all__ = ["Loop"]
+__all__ = ["DescriptorSet", "Loop"]
 
 # Below this many cancelled timers the heap is not rebuilt.
 MIN_CANCELLED = 1_000
@@ -24,6 +24,28 @@
     """Runs a function on the next turn of the loop."""
 
 
+class DescriptorSet(set):
+    """A set where circuits expects a list.
+
+    circuits searches its lists of sockets several times for each event, which takes
+    longer the more connections are open.
+    """
+
+    append = set.add
+
+    def __getitem__(self, index):
+        return list(self)[index]
+
+
+class _Poller(EPoll):
+    """circuits' epoll component with sets of descriptors."""
+
+    def __init__(self):
+        super().__init__()
+        self._read = DescriptorSet(self._read)
+        self._write = DescriptorSet(self._write)
+
+
 class Loop(BaseComponent):
     """Root component of a process; owns the poller and all timers."""
 
@@ -35,7 +57,7 @@
         self._cancelled = 0
         self._order = itertools.count()
         self._on_signal = None
-        self.poller = EPoll().register(self)
+        self.poller = _Poller().register(self)
 
     def now(self):
         """Return monotonic seconds."""
