--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,59 @@
+"""Guards requests that another failure domain runs."""
+
+import random
+
+import pytest
+from fixtures_entry import OBJECTS
+from fixtures_simulation import Simulation
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+SCHEDULES = 300
+SPILLING = [dict(item) for item in OBJECTS]
+SPILLING[0]["failure_domains"] = ["l1", "l2"]
+SPILLING[3]["spill"] = "region"
+
+
+def two_domains(seed):
+    """Return (simulation, entry of l2); all executors are in l1."""
+    sim = Simulation(seed, objects=SPILLING)
+    other = sim.start_entry("f0", "l2")
+    sim.clock.advance(8.0)
+    return sim, other
+
+
+def test_request_runs_in_another_failure_domain_of_the_region():
+    sim, other = two_domains(1)
+    sim.ask(other, "a", "note")
+    sim.ask(other, "b", "book", "k")
+    sim.clock.advance(4.0)
+    assert_that(sim.answers["a"], Equals([(200, b"a", "RAN")]))
+    assert_that(sim.answers["b"], Equals([(200, b"k", "RAN")]))
+    assert_that(sim.records(), Equals({"a": 1, "b": 1}))
+
+
+@pytest.mark.proof
+def test_verdicts_of_forwarded_requests_agree_with_the_record():
+    """Guarantees 3, 4 and 5 over a link that loses requests and answers."""
+    told = []
+    for seed in range(SCHEDULES):
+        rng = random.Random(seed)
+        sim, other = two_domains(seed)
+        sim.network.faults["http-e0"] = {"refused": 0.2, "cut": 0.2, "lost": 0.2}
+        for name in sim.executors:
+            sim.network.faults[name] = {"refused": 0.1, "cut": 0.1, "lost": 0.1}
+        for number in range(8):
+            sim.ask(other, f"r{number}", rng.choice(("note", "book")), f"k{number}")
+            sim.clock.advance(rng.choice((0.0, 0.1)))
+        sim.clock.advance(10.0)
+        ran = sim.records()
+        for request_id, answers in sim.answers.items():
+            assert_that(answers, HasLength(1), request_id)
+            verdict = answers[0][2]
+            count = ran.get(request_id, 0)
+            assert count <= 1, (seed, request_id)
+            if verdict != "MAY_HAVE_RUN":
+                assert_that(count, Equals(int(verdict == "RAN")), request_id)
+            told.append(verdict)
+    for verdict in ("RAN", "NOT_RUN", "MAY_HAVE_RUN"):
+        assert told.count(verdict) > SCHEDULES / 4, verdict
