Check verdicts over real connections; skip rows of entries that are gone

Cause: verdicts were checked against the record only in virtual time; rows of replaced entries stayed in the list of addresses for forwarding. Change: 60 seeded requests over sockets against an executor that refuses, loses answers, is slow or silent; only rows of the view's members are used; a test of the connection limit.

--- a/cornelward/forwarding.py
+++ b/cornelward/forwarding.py
@@ -1,8 +1,8 @@
 """Requests sent to entries of other failure domains over their public HTTP interface.
 
 Each entry publishes its HTTP address in a row ``entries/<fd>/<id>``: views hold the
-addresses of the inboxes only. A row may outlive its entry; an attempt that cannot
-connect gives ``NOT_RUN``.
+addresses of the inboxes only. A row may outlive its entry, so that only rows of the
+view's members count; an attempt that cannot connect gives ``NOT_RUN``.
 """
 
 from .errors import DEADLINE_EXCEEDED, NO_UPSTREAM, UPSTREAM_FAILED, PlatformError
@@ -33,7 +33,10 @@
 
 def publish(entry):
     """Write the own HTTP address; tried again until it succeeds."""
-    value = {"http_address": entry.identity.http_address}
+    value = {
+        "http_address": entry.identity.http_address,
+        "incarnation": entry.identity.incarnation,
+    }
 
     def written(result):
         if isinstance(result, PlatformError) and not entry.leaving:
@@ -59,18 +62,34 @@
     if len(waiting) > 1:
         return
 
-    def listed(rows):
-        if isinstance(rows, PlatformError):
-            addresses = known[1] if known is not None else []
-        else:
-            addresses = [row.value["http_address"] for row in rows]
+    def finish(addresses):
         directory.entries[failure_domain] = entry.loop.now(), addresses
         for callback in directory.waiting.pop(failure_domain):
             callback(addresses)
 
+    def listed(rows):
+        if isinstance(rows, PlatformError):
+            finish(known[1] if known is not None else [])
+            return
+        view_key = f"views/{failure_domain}"
+        entry.platform.get(view_key, lambda view: finish(_members(rows, view)))
+
     entry.platform.list_rows(f"entries/{failure_domain}/", listed)
 
 
+def _members(rows, view):
+    """Return the addresses of the rows whose entries are in the view."""
+    known = not isinstance(view, PlatformError) and view.version
+    members = view.value["members"] if known else {}
+    return [
+        row.value["http_address"]
+        for row in rows
+        if not known
+        or members.get(row.key.rpartition("/")[2], {}).get("incarnation")
+        == row.value["incarnation"]
+    ]
+
+
 def read_forwarded(result, request_id):
     """Return the Answer in another entry's HttpResult; its verdict counts."""
     answer = read_answer(result, request_id)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,10 +1,14 @@
 """Guards the path of a request through an entry, and its operators' routes."""
 
+import random
+
 import pytest
 from fixtures_entry import OBJECTS, entry_cluster, ready_entry  # noqa: F401
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, ContainsDict, Equals, HasLength
 
+from cornelward import request_flow
+
 
 def test_request_reaches_an_executor_and_comes_back_whole(ready):
     cluster, _, upstream, ask = ready
@@ -98,3 +102,36 @@
     assert_that(state, ContainsDict({"config_version": Equals(1)}))
     assert_that(ask("GET", "/readyz").status, Equals(200))
     assert_that(ask("GET", "/healthz").status, Equals(200))
+
+
+@pytest.mark.proof
+def test_verdicts_over_real_connections_agree_with_the_record(ready):
+    """Guarantee 4 while an executor refuses, loses answers, is slow or silent."""
+    cluster, _, upstream, _ = ready
+    rng = random.Random(5)
+    calls = {}
+    for number in range(60):
+        changes = {"refuse": rng.random() < 0.3, "dead": rng.random() < 0.1}
+        changes["lose_answers"] = int(rng.random() < 0.2)
+        changes["slow_ms"] = rng.choice((0, 0, 50, 2_000))
+        cluster.switch(upstream, **changes)
+        name = f"n{number}"
+        headers = (("X-Request-Id", name), ("X-Timeout-Ms", "1000"))
+        address = cluster.entries[0].identity.http_address
+        path = "/v1/services/quotes/note"
+        calls[name] = cluster.start_call(address, "POST", path, name.encode(), headers)
+        cluster.loop.run_until(lambda name=name: calls[name], rng.choice((0.0, 0.05)))
+    cluster.until(lambda: all(calls.values()))
+    cluster.switch(upstream, refuse=False, dead=False, lose_answers=0, slow_ms=0)
+    record = cluster.call(upstream, "GET", "/record").json()["ran"]
+    ran = [item[0].split(request_flow.ATTEMPT_MARK)[0] for item in record]
+    told = []
+    for name, (result,) in calls.items():
+        verdict = result.headers["x-verdict"]
+        assert ran.count(name) <= 1, name
+        if verdict != "MAY_HAVE_RUN":
+            assert_that(ran.count(name), Equals(int(verdict == "RAN")), name)
+        if verdict == "RAN":
+            assert_that(result.body, Equals(name.encode()))
+        told.append(verdict)
+    assert_that(set(told), Equals({"RAN", "NOT_RUN", "MAY_HAVE_RUN"}))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -8,6 +8,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
+from cornelward import forwarding
+
 SCHEDULES = 300
 SPILLING = [dict(item) for item in OBJECTS]
 SPILLING[0]["failure_domains"] = ["l1", "l2"]
@@ -32,6 +34,18 @@
     assert_that(sim.records(), Equals({"a": 1, "b": 1}))
 
 
+def test_row_of_a_dead_entry_is_not_used():
+    # Rows of entries that were replaced would take every other attempt.
+    sim, other = two_domains(1)
+    for number in range(20):
+        value = {"http_address": "nowhere", "incarnation": number}
+        sim.txn([[f"entries/l1/gone-{number}", value]])
+    found = []
+    forwarding._lookup(other, "l1", found.append)
+    sim.clock.advance(3.0)
+    assert_that(found, Equals([["http-e0"]]))
+
+
 @pytest.mark.proof
 def test_verdicts_of_forwarded_requests_agree_with_the_record():
     """Guarantees 3, 4 and 5 over a link that loses requests and answers."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -323,6 +323,13 @@
     caller.until(lambda: len(caller.answers()) >= 30)
 
 
+def test_connections_above_the_limit_are_closed():
+    site = Site(max_connections=2)
+    callers = [site.connect() for _ in range(3)]
+    site.until(lambda: sum(caller.poll().closed for caller in callers) == 1)
+    site.close()
+
+
 def test_draining_answers_what_was_accepted_and_then_closes(site):
     caller = site.connect()
     caller.send(PAIR)
