--- a/tools/bench_http.py
+++ b/tools/bench_http.py
@@ -1,6 +1,6 @@
 """Measures requests a second and added delay of entry processes on loopback.
 
-    python -m tools.bench_http [--seconds S] [--entries 1,8]
+    python -m tools.bench_http [--seconds S] [--entries 1,8] [--rate R]
 
 Each run starts its own platform, executors and entries. One entry is compared with a
 bare circuits.web server with a fixed body; the delay is compared with direct calls of
@@ -144,12 +144,12 @@
     return rows, {"ratio to bare (target 0.5)": round(ratio, 2)}
 
 
-def measure_many(site, count, seconds, connections):
+def measure_many(site, count, seconds, connections, rate=None):
     """Measure several entries: greatest rate, then delay below saturation."""
     entries = site.start_entries(count)
     path = f"/v1/services/{OPERATION}"
     most = load(entries, path, connections, seconds)
-    rate = max(50, most["per_s"] * BELOW_SATURATION)
+    rate = rate or max(50, most["per_s"] * BELOW_SATURATION)
     direct = load(site.executors, "/run/x", connections, seconds, rate)
     through = load(entries, path, connections, seconds, rate)
     rows = [
@@ -196,6 +196,7 @@
     parser.add_argument("--entries", default="1,8")
     parser.add_argument("--connections", type=int, default=32)
     parser.add_argument("--executors", type=int, default=4)
+    parser.add_argument("--rate", type=float, help="offered load for the delay")
     parser.add_argument("--no-memory", action="store_true")
     args = parser.parse_args(argv)
     print(f"load average {os.getloadavg()[0]:.1f} on {os.cpu_count()} cores")
@@ -205,7 +206,7 @@
                 report(*measure_one(site, args.seconds, args.connections))
             else:
                 connections = count * 16
-                report(*measure_many(site, count, args.seconds, connections))
+                report(*measure_many(site, count, args.seconds, connections, args.rate))
     if not args.no_memory:
         with Site(args.executors) as site:
             report([], measure_memory(site))
