Keep polling and draining after a fault in one request or row

Cause: a head row of the wrong form would have ended the polling for good, and an exception within the router left its request open, which would hold up a shutdown. Change: the poll flag is cleared first; a failed request is forgotten; the log of a failed handler has the traceback. Conclusion: a test breaks the router and finds no request left.

--- a/cornelward/config_follow.py
+++ b/cornelward/config_follow.py
@@ -55,15 +55,15 @@
     follower.polling = True
 
     def head_read(row):
+        # First of all, so that a row of the wrong form does not end the polling.
+        follower.polling = False
         if isinstance(row, PlatformError):
-            follower.polling = False
             _ask(follower)
             return
         version = row.value["version"] if row.version else 0
-        if version <= follower.document["version"]:
-            follower.polling = False
-            return
-        follower.platform.get(config.doc_key(version), document_read)
+        if version > follower.document["version"]:
+            follower.polling = True
+            follower.platform.get(config.doc_key(version), document_read)
 
     def document_read(row):
         follower.polling = False
--- a/cornelward/http_server.py
+++ b/cornelward/http_server.py
@@ -7,6 +7,7 @@
 
 import itertools
 import time
+import traceback
 from http.cookies import SimpleCookie
 
 import msgspec
@@ -296,8 +297,9 @@
             self._handle(call)
         except CornelwardError as exc:
             call.refuse(exc)
-        except Exception as exc:
-            log("error", "handler_failed", path=call.request.path, exc=repr(exc))
+        except Exception:
+            where = traceback.format_exc(limit=-3)
+            log("error", "handler_failed", path=call.request.path, traceback=where)
             body = error_body(INTERNAL, "internal error", Verdict.MAY_HAVE_RUN)
             call.answer(500, body)
         return True
--- a/cornelward/request_flow.py
+++ b/cornelward/request_flow.py
@@ -115,10 +115,13 @@
         raise RequestError(BAD_REQUEST, text)
     entry.calls[request_id] = pending
     call.on_closed = lambda: _caller_gone(entry, request_id)
-    if keyed_request:
-        _begin_keyed(entry, now, request_id, pending)
-    else:
-        _submit(entry, now, request_id, pending)
+    begin = _begin_keyed if keyed_request else _submit
+    try:
+        begin(entry, now, request_id, pending)
+    except Exception:
+        # The server answers; a request left here would hold up the shutdown.
+        entry.calls.pop(request_id, None)
+        raise
 
 
 def _submit(entry, now, request_id, pending):
@@ -290,7 +293,6 @@
     request = pending.call.request
     name = request.headers["idempotency-key"]
     if not KEY.fullmatch(name):
-        del entry.calls[request_id]
         text = "Idempotency-Key: expected up to 200 letters, digits and _.:~-"
         raise RequestError(BAD_REQUEST, text)
     pending.key = f"requests/{pending.service}/{name}"
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -43,6 +43,20 @@
     assert_that((error["code"], error["verdict"]), Equals((code, "NOT_RUN")))
 
 
+def test_fault_within_the_router_is_answered_and_leaves_no_request(ready, monkeypatch):
+    _, entry, _, ask = ready
+
+    def fail(state, now, req):
+        raise ValueError("broken")
+
+    monkeypatch.setattr(entry.router, "submit", fail)
+    result = ask("POST", "/v1/services/quotes/price", b"")
+    error = result.json()["error"]
+    told = result.status, error["code"], error["verdict"]
+    assert_that(told, Equals((500, "internal", "MAY_HAVE_RUN")))
+    assert_that(entry.calls, HasLength(0))
+
+
 def test_job_is_written_with_inbox_row_once_for_a_key(ready):
     cluster, _, _, ask = ready
     body = {"workload": "manifests", "key": "m-1", "tasks": 2}
