Run due timers at once instead of at the next poll

Cause: an event fired while circuits handles generate_events does not shorten the poller's wait, so a timer that was due ran only when something else woke the loop. Change: the loop reduces the time left to 0 when it fires a due timer. Ruled out: delayed acknowledgements (answers without a timer took 2 ms) and the router (the executor alone showed the same delay). Conclusion: a test runs a chain of timers with no other event; it fails without the change.

--- a/cornelward/loop.py
+++ b/cornelward/loop.py
@@ -98,5 +98,7 @@
             function = heapq.heappop(timers)[2]
             if function is not None:
                 self.fire(call(function))
+                # Events fired here do not shorten the poller's wait by themselves.
+                event.reduce_time_left(0)
         if timers:
             event.reduce_time_left(max(0.0, timers[0][0] - now))
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,5 +1,7 @@
 """Guards the timers: order, cancellation, repetition after a failure."""
 
+import threading
+
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
@@ -41,3 +43,21 @@
 
     loop.call_every(0.01, fail)
     assert_that(loop.run_until(lambda: len(ran) >= 3, LIMIT_S), Equals(True))
+
+
+def test_due_timer_runs_without_another_event(loop):
+    """Guards against a poller that waits although a timer was due."""
+    ran = []
+
+    def step():
+        ran.append(1)
+        if len(ran) == 3:
+            loop.stop()
+        else:
+            loop.call_later(0.01, step)
+
+    loop.call_later(0.01, step)
+    thread = threading.Thread(target=loop.run, daemon=True)
+    thread.start()
+    thread.join(LIMIT_S)
+    assert_that(len(ran), Equals(3))
