--- a/cornelward/http_server.py
+++ b/cornelward/http_server.py
@@ -7,18 +7,20 @@
 
 import itertools
 import time
+from http.cookies import SimpleCookie
 
 import msgspec
 from circuits import BaseComponent, handler
 from circuits.net.sockets import TCPServer
 from circuits.web import wrappers
-from circuits.web.events import request, response
+from circuits.web.events import request
 from circuits.web.headers import Headers
 from circuits.web.http import HTTP
 
 from .errors import INTERNAL, STATUS_OF_CODE, CornelwardError
 from .http_framing import FramingError, RequestFramer
 from .log import get_logger
+from .loop import DescriptorSet
 from .verdicts import Verdict
 
 __all__ = ["Call", "HttpServer", "Limits", "error_body"]
@@ -111,6 +113,20 @@
         self.read_at = now
 
 
+class _FramedRequest(wrappers.Request):
+    """A request for a Response to refer to; the framer's request has the rest.
+
+    circuits.web's own one parses an address, two URLs and cookies each time.
+    """
+
+    def __init__(self, sock, method, server):
+        self.sock = sock
+        self.method = method
+        self.server = server
+        self.headers = Headers()
+        self.cookie = SimpleCookie()
+
+
 class _GuardedHTTP(HTTP):
     """circuits.web's protocol component, fed only with whole requests.
 
@@ -246,26 +262,28 @@
             # The sweep goes on once the caller has read its answers.
             return
         framed = conn.framer.requests.pop(0)
-        req = wrappers.Request(
-            sock,
-            framed.method,
-            # Only a checked Host reaches circuits.web, which parses it carelessly.
-            headers=Headers([("Host", "localhost")]),
-            server=self._server,
-        )
+        req = _FramedRequest(sock, framed.method, self._server)
         res = wrappers.Response(req)
         res.close = not framed.keep_alive
 
         def finish(status, body, content_type, headers):
-            res.status = status
-            res.body = body
-            res.headers["Content-Type"] = content_type
-            for name, value in headers:
-                res.headers[name] = value
-            self.fire(response(res))
+            try:
+                res.status = status
+                res.body = body
+                res.headers["Content-Type"] = content_type
+                for name, value in headers:
+                    res.headers[name] = value
+                self._respond(res)
+            except Exception as exc:
+                # Without its answer the caller would wait for ever.
+                log("error", "answer_failed", path=framed.path, exc=repr(exc))
+                self._close(sock)
 
         conn.call = Call(framed, finish)
-        self.fire(request(req, res))
+        event = request(req, res)
+        # Nothing listens to the three events that would report its end.
+        event.success = event.failure = event.complete = False
+        self.fire(event)
 
     @handler("request")
     def _on_request(self, event, req, res):
@@ -284,8 +302,7 @@
             call.answer(500, body)
         return True
 
-    @handler("response", override=True)
-    def _on_response(self, res):
+    def _respond(self, res):
         sock = res.request.sock
         conn = self.connections.get(sock)
         if conn is None:
@@ -357,6 +374,8 @@
         channel = f"web{next(_channel_numbers)}"
         super().__init__(channel=channel)
         self.server = TCPServer(bind, channel=channel, bufsize=65_536).register(self)
+        self.server._clients = DescriptorSet()
+        self.server._closeq = DescriptorSet()
         self.http = _GuardedHTTP(self, handle, limits or Limits(), channel)
         self.http.register(self)
         self.register(loop)
