Estimate the wait by the pace of starts as well

Admission divided the queue by the slots in use. An entry that had just lent its slots expected 9 s where the queue took 0.2 s, and refused. The estimate is now the smaller of that and the queue times the interval between the last starts under backlog.

Not enough: the estimate is still wrong while an owner has lent all its slots.

--- a/cornelward/queues.py
+++ b/cornelward/queues.py
@@ -21,6 +21,7 @@
     "cancel_queued",
     "discard_expired",
     "expected_wait",
+    "note_start",
     "parse_policy",
     "pop_work",
     "push_work",
@@ -34,6 +35,8 @@
 
 # From this share of its time spent waiting, the oldest entry is a sign of overload.
 OVERLOAD_SHARE = 0.5
+# Weight of one observation in the time between starts.
+INTERVAL_WEIGHT = 0.03
 # The expiry heap is rebuilt when it is this much longer than the queue.
 HEAP_SLACK = 256
 
@@ -115,6 +118,10 @@
         self.count = 0
         self.running = 0
         self.mean_run_s = None
+        # Time between starts while requests were waiting.
+        self.interval_s = None
+        self.last_start = 0.0
+        self.backlogged = False
 
 
 class Service:
@@ -199,8 +206,27 @@
     return expired
 
 
-def expected_wait(queue):
-    """Return how long a new request would wait behind the queue, in seconds."""
+def note_start(queue, now):
+    """Observe the pace at which a queue that is not empty is served."""
+    if queue.backlogged:
+        sample = now - queue.last_start
+        if queue.interval_s is None:
+            queue.interval_s = sample
+        queue.interval_s += INTERVAL_WEIGHT * (sample - queue.interval_s)
+    queue.last_start = now
+    queue.backlogged = queue.count > 0
+
+
+def expected_wait(queue, now):
+    """Return how long a new request would wait behind the queue, in seconds.
+
+    The smaller of two estimates: by the slots in use, which shrink and grow with the
+    credits of an instant, and by the pace of the last starts, which may be old.
+    """
     if queue.mean_run_s is None:
         return 0.0
-    return (queue.count + 1) * queue.mean_run_s / max(queue.running, 1)
+    ahead = queue.count + 1
+    wait = ahead * queue.mean_run_s / max(queue.running, 1)
+    if queue.interval_s is None:
+        return wait
+    return min(wait, ahead * max(queue.interval_s, now - queue.last_start))
--- a/cornelward/routing.py
+++ b/cornelward/routing.py
@@ -15,6 +15,7 @@
     cancel_queued,
     discard_expired,
     expected_wait,
+    note_start,
     pop_work,
     push_work,
     waited_share,
@@ -113,7 +114,7 @@
         return [_refuse(state, work, errors.DEADLINE_EXCEEDED, "deadline has passed")]
     wait = 0.0
     if not _has_slot(state, now, service, work.cls):
-        wait = expected_wait(queue)
+        wait = expected_wait(queue, now)
     if not service.live or wait > service.policy.spill_wait_s:
         target = _spill_target(service, work, now)
         if target is not None:
@@ -213,6 +214,7 @@
     work.started_at = now
     work.attempts += 1
     work.credit = lease
+    note_start(work.service.queues[work.cls], now)
     work.service.queues[work.cls].running += 1
     work.service.started.append((now, work, work.attempts))
     if lease is None:
