Lend towards an even share of the slots

Owners compared queue lengths of the last heartbeats: all lent to the entry with the longest queue, up to all their slots for the life of the credits, then queued themselves. A request for slots now asks for the part missing to an even share of the domain's slots, and an owner with a queue lends only what it uses beyond its own share. A borrower above its share returns a slot whose owner queues.

--- a/cornelward/borrowing.py
+++ b/cornelward/borrowing.py
@@ -4,6 +4,7 @@
 credits for free slots, at once or when a slot becomes free shortly after.
 """
 
+import math
 from typing import NamedTuple
 
 from . import slots, views
@@ -15,8 +16,10 @@
     "Lease",
     "balance",
     "borrow",
+    "fair_share",
     "free_now",
     "lend_first",
+    "may_reuse",
     "on_grant",
     "on_heartbeat_credits",
     "on_request",
@@ -31,9 +34,6 @@
 # counts from when the request was sent, so part of the credit's time must be left.
 DEMAND_S = 0.4
 MAX_CREDITS_ASKED = 64
-# A peer is served before the own queue if its queue is longer by these.
-LEND_RATIO = 1.25
-LEND_MARGIN = 4
 # An idle credit is kept this long for the next request, unless its owner has a queue:
 # without it, each borrowed slot costs three messages a request.
 IDLE_CREDIT_S = 0.02
@@ -69,21 +69,34 @@
 
 def _ask(state, now, service, cls, wanted):
     effects = []
-    for peer in _peers_by_load(state, service.name):
+    peers = _peers_by_load(state, service.name)
+    # What all peers together are asked for beyond the slots that they reported free.
+    deficit = max(0.0, fair_share(state, service) - _running(service))
+    for peer in peers:
         if wanted <= 0:
             break
         key = peer, service.name, cls
         if now < state.asked.get(key, 0.0):
             continue
         state.asked[key] = now + ASK_AGAIN_S
-        count = min(wanted, MAX_CREDITS_ASKED)
         reported = state.peer_free.get((peer, service.name), 0)
-        message = SlotRequest(service.name, cls, count, now)
+        # One is only a wish for idle slots; see lend_first.
+        count = reported or 1 + math.ceil(min(wanted, deficit) / len(peers))
+        message = SlotRequest(service.name, cls, min(wanted, count), now)
         effects.append(SendMessage(state.view.members[peer][0], message))
         wanted -= reported
     return effects
 
 
+def fair_share(state, service):
+    """Return an even share of the failure domain's slots for each entry."""
+    return service.slots / max(len(state.view.members), 1)
+
+
+def _running(service):
+    return sum(queue.running for queue in service.queues.values())
+
+
 def _peers_by_load(state, service):
     peers = views.others(state.view)
     return sorted(peers, key=lambda peer: -state.peer_free.get((peer, service), 0))
@@ -109,22 +122,31 @@
 
 
 def lend_first(state, now, service, cls):
-    """Grant a free slot to a peer whose queue is longer; returns effects.
+    """Grant a free slot to a peer below its fair share; returns effects.
 
-    Entries own different numbers of executors, but get about the same load.
+    Entries own different numbers of executors, but get about the same load. One that
+    uses more than its share lends although it has a queue itself. Queue lengths are no
+    measure for this: those of the last heartbeats made all owners lend to one entry.
     """
-    if not state.demands:
+    if not state.demands or _running(service) < fair_share(state, service):
         return []
-    own = sum(queue.count for queue in service.queues.values())
-    limit = own * LEND_RATIO + LEND_MARGIN
-    for key in list(state.demands):
-        queued = state.peer_queued.get((key[0], service.name), 0)
-        if key[1:] == (service.name, cls) and queued > limit:
-            effects = _serve(state, now, service, key, 1)
-            if effects:
-                state.peer_queued[key[0], service.name] = queued - 1
-                return effects
-    return []
+    keys = [
+        key
+        for key, demand in state.demands.items()
+        if key[1:] == (service.name, cls) and demand.request.count > 1
+    ]
+    if not keys:
+        return []
+    weights = [state.demands[key].request.count for key in keys]
+    return _serve(state, now, service, state.rng.choices(keys, weights)[0], 1)
+
+
+def may_reuse(state, now, service, lease):
+    """Return whether a borrowed slot may take another request."""
+    if now >= lease.usable_until:
+        return False
+    owner_queues = state.peer_queued.get((lease.owner[0], service.name), 0) > 0
+    return not owner_queues or _running(service) < fair_share(state, service)
 
 
 def _grant(state, now, service, demand, count):
--- a/cornelward/catalog.py
+++ b/cornelward/catalog.py
@@ -58,11 +58,12 @@
 
 def _count_live(state):
     for service in state.services.values():
-        service.live = 0
+        service.live = service.slots = 0
     for executor in state.slots.executors.values():
         service = state.services.get(executor.service)
         if service is not None and executor.listed == "live":
             service.live += 1
+            service.slots += executor.slots
             executor.reserved = service.policy.reserved_short_slots
             slots.update_index(state.slots, executor)
 
--- a/cornelward/queues.py
+++ b/cornelward/queues.py
@@ -134,7 +134,9 @@
         self.domains = domains
         self.queues = {SHORT: ClassQueue(), LONG: ClassQueue()}
         self.credits = {SHORT: deque(), LONG: deque()}
+        # Live executors of the failure domain, and their slots.
         self.live = 0
+        self.slots = 0
         self.started = deque()
         # Requests and retries in the present and the previous window.
         self.window_at = 0.0
--- a/cornelward/routing.py
+++ b/cornelward/routing.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from . import classes, errors, slots, views
-from .borrowing import IDLE_CREDIT_S, lend_first
+from .borrowing import IDLE_CREDIT_S, lend_first, may_reuse
 from .classes import LONG, SHORT
 from .queues import (
     FORWARDED,
@@ -293,7 +293,7 @@
     if orphan is not None:
         # Neither returned nor reported: the owner counts the slot as an orphan.
         return
-    if now < lease.usable_until:
+    if may_reuse(state, now, work.service, lease):
         idle_until = min(lease.usable_until, now + IDLE_CREDIT_S)
         lease = lease._replace(idle_until=idle_until)
         work.service.credits[work.cls].appendleft(lease)
