Drop queued requests that cannot be answered in time

Under overload the newest request was served once the oldest had waited half of its time. Two faults: a short overload that the queue could absorb was answered newest first and its backlog expired; and requests were started with less time left than a run takes. A queued request is now dropped when less than two mean run times are left, and the newest goes first only from 0.9 of the oldest one's time. A request that finds a free slot is no longer refused because its deadline is below the mean run time.

--- a/cornelward/queues.py
+++ b/cornelward/queues.py
@@ -25,6 +25,7 @@
     "parse_policy",
     "pop_work",
     "push_work",
+    "run_margin",
     "waited_share",
 ]
 
@@ -34,7 +35,9 @@
 ENDED = "ended"
 
 # From this share of its time spent waiting, the oldest entry is a sign of overload.
-OVERLOAD_SHARE = 0.5
+OVERLOAD_SHARE = 0.9
+# Time left at the start, in mean run times, below which a queued request is dropped.
+RUN_MARGIN = 2.0
 # Weight of one observation in the time between starts.
 INTERVAL_WEIGHT = 0.03
 # The expiry heap is rebuilt when it is this much longer than the queue.
@@ -198,9 +201,10 @@
 
 
 def discard_expired(queue, now):
-    """Take out and return the requests whose deadline has passed."""
+    """Take out and return the requests that can't be answered within their deadline."""
     expired = []
-    while queue.expiry and queue.expiry[0][0] <= now:
+    limit = now + run_margin(queue)
+    while queue.expiry and queue.expiry[0][0] <= limit:
         work = heapq.heappop(queue.expiry)[2]
         if work.state is QUEUED:
             cancel_queued(queue, work)
@@ -208,6 +212,11 @@
     return expired
 
 
+def run_margin(queue):
+    """Return the time that a request of this queue must have left when it starts."""
+    return (queue.mean_run_s or 0.0) * RUN_MARGIN
+
+
 def note_start(queue, now):
     """Observe the pace at which a queue that is not empty is served."""
     if queue.backlogged:
--- a/cornelward/routing.py
+++ b/cornelward/routing.py
@@ -18,6 +18,7 @@
     note_start,
     pop_work,
     push_work,
+    run_margin,
     waited_share,
 )
 from .verdicts import Verdict, is_retry_safe
@@ -122,10 +123,10 @@
     if not service.live:
         message = f"no live executor of {service.name}"
         return [_refuse(state, work, errors.NO_UPSTREAM, message, SPILL_PAUSE_S)]
-    run_s = queue.mean_run_s or 0.0
-    if wait + run_s > remaining:
+    late_s = wait + run_margin(queue) - remaining
+    if wait and late_s > 0:
         message = f"expected wait {wait:.3f} s exceeds the deadline"
-        after = wait + run_s - remaining
+        after = late_s
         return [_refuse(state, work, errors.OVERLOADED, message, after)]
     if queue.count >= service.policy.queue_limit:
         return [_refuse(state, work, errors.OVERLOADED, "queue is full", wait)]
@@ -147,7 +148,7 @@
     effects = []
     for cls in (SHORT, LONG):
         for work in discard_expired(service.queues[cls], now):
-            message = "deadline passed in the queue"
+            message = "deadline cannot be met any more"
             effects.append(_refuse(state, work, errors.DEADLINE_EXCEEDED, message))
     while True:
         for cls in _class_order(service, now):
