Show that the check of idle slots can fail; forget departed peers

Without borrowing the check finds idle slots. Reports and slot requests of entries that left the view were kept for the life of the process; they are dropped with the view.

--- a/cornelward/borrowing.py
+++ b/cornelward/borrowing.py
@@ -263,6 +263,13 @@
         del state.seen_credits[key]
 
 
+def forget_gone(state):
+    """Forget what entries outside the view reported and asked for."""
+    for table in (state.peer_free, state.peer_queued, state.asked, state.demands):
+        for key in [key for key in table if key[0] not in state.view.members]:
+            del table[key]
+
+
 def on_return(state, envelope):
     """Free the slots of returned credits; returns the services concerned."""
     services = set()
--- a/cornelward/router.py
+++ b/cornelward/router.py
@@ -215,10 +215,6 @@
     return effects
 
 
-def _on_slot_request(state, now, envelope):
-    return borrowing.on_request(state, now, envelope)
-
-
 def _on_slot_grant(state, now, envelope):
     borrowing.on_grant(state, now, envelope)
     service = state.services.get(envelope.message.service)
@@ -238,7 +234,7 @@
     HeartbeatAck: _on_ack,
     Leaving: _on_leaving,
     SlotGrant: _on_slot_grant,
-    SlotRequest: _on_slot_request,
+    SlotRequest: borrowing.on_request,
     SlotReturn: _on_slot_return,
     ViewAnnounce: _on_announce,
 }
@@ -283,6 +279,7 @@
     """Move executors to their owners of the new view and tell the members."""
     catalog.assign_executors(state)
     borrowing.orphan_credits_of_gone(state, now)
+    borrowing.forget_gone(state)
     state.heartbeat_at = now
     return views.to_members(state.view, views.announcement(state.view))
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -4,9 +4,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, Is
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
-from cornelward import router, views
+from cornelward import borrowing, router, views
 from tests.fixtures_router import World
 
 NAMES = ("e1", "e2", "e3", "e4")
@@ -96,10 +96,8 @@
     assert_that(world.violations, Equals([]))
 
 
-@pytest.mark.proof
-@pytest.mark.parametrize("seed", range(8))
-def test_slots_do_not_idle_once_messages_flow(seed):
-    """Guards against slots that stay idle, or lost for good, while an entry queues."""
+def fill_from_one_entry(seed):
+    """Return a world, settled after faults, in which one entry has a long queue."""
     world = run_schedule(seed, random_faults(seed))
     settle(world)
     world.run_s = lambda: 5.0
@@ -108,10 +106,25 @@
         world.submit(name, deadline_s=30)
     world.run(2)
     assert_that(world.queued(), GreaterThan(0))
+    return world
+
+
+@pytest.mark.proof
+@pytest.mark.parametrize("seed", range(8))
+def test_slots_do_not_idle_once_messages_flow(seed):
+    """Guards against slots that stay idle, or lost for good, while an entry queues."""
+    world = fill_from_one_entry(seed)
     assert_that(world.in_flight(), Equals(sum(world.slots.values())))
     assert_that(world.violations, Equals([]))
 
 
+def test_check_of_idle_slots_fails_without_borrowing(monkeypatch):
+    """Guards against a property test that could not notice an idle slot."""
+    monkeypatch.setattr(borrowing, "borrow", lambda state, now, service: [])
+    found = [fill_from_one_entry(seed).in_flight() for seed in range(4)]
+    assert_that(min(found), LessThan(16))
+
+
 def test_check_fails_without_the_wait_of_a_new_owner(monkeypatch):
     """Guards against a property test that could not notice an overload."""
     monkeypatch.setattr(views, "claim_time", lambda view: view.adopted_at)
