Place waves of batch tasks worker by worker

Passes over the queues are 50 ms apart, so that a wave is seen as a whole; a lone arrival is still placed at once. The replay now wakes the core when it asks.

--- a/cornelward/task_scheduler.py
+++ b/cornelward/task_scheduler.py
@@ -220,6 +220,8 @@
         workers = state.workers.by_id.values()
         times += [w.renew_at for w in workers if w.in_flight is None]
         times += list(state.read_retries.values())
+        if state.place_wanted:
+            times.append(state.place_at)
         times.append(state.inbox_at if not state.inbox_busy else state.usage_at)
     return min(times, default=None)
 
--- a/cornelward/task_state.py
+++ b/cornelward/task_state.py
@@ -68,6 +68,7 @@
     state.usage_txn = None
     state.usage_busy = False
     state.place_wanted = True
+    state.place_at = 0.0
     state.epoch_seen = 0
 
 
--- a/cornelward/task_steps.py
+++ b/cornelward/task_steps.py
@@ -20,11 +20,14 @@
     set_hold,
 )
 from .task_state import assign
+from .waves import place_wave
 
 __all__ = ["place_jobs"]
 
 # Bounds one step, so that leases are renewed in time while a wave is placed.
 MAX_DECISIONS = 64
+# Passes over the queues are this far apart, so that a wave is placed as a whole.
+PLACE_S = 0.05
 # Jobs behind the first of a team's queue that are tried when the first does not fit.
 LOOKAHEAD = 8
 # A gang that does not fit is not tried again at each event.
@@ -48,13 +51,16 @@
     Returns the signals to tasks that urgent work preempts.
     """
     ready = state.loaded and state.config_version and not state.leaving
-    if not (state.place_wanted and ready and has_authority(state.own, now)):
+    ready = ready and state.place_wanted and now >= state.place_at
+    if not (ready and has_authority(state.own, now)):
         return []
+    state.place_at = now + PLACE_S
     rnd = _Round()
     state.place_wanted = False
     expire_holds(state, now)
     effects = _place_urgent(state, now, rnd)
     _update_reservation(state, now, rnd)
+    place_wave(state, now, rnd)
     order = list(state.teams.waiting)
     while order:
         if rnd.decisions >= MAX_DECISIONS:
--- a/tools/task_replay.py
+++ b/tools/task_replay.py
@@ -15,6 +15,8 @@
 from cornelward.platform_client import Conflict, Row
 from cornelward.settings import SCHEDULER
 
+TICK_S = 0.25
+
 __all__ = ["Faults", "Identity", "ModelTable", "ModelWorker", "Replay"]
 
 
@@ -123,6 +125,7 @@
         self.cores = {}
         self.clocks = {}
         self.paused = {}
+        self.wakes = {}
         self.events = []
         self.seq = itertools.count()
         self.on_start = lambda *args: None
@@ -192,11 +195,23 @@
         call = self.timed or (lambda fn, *rest: fn(*rest))
         for effect in call(function, state, clock, *args):
             self._carry_out(name, clock, effect)
+        self._wake(name, state, clock)
+
+    def _wake(self, name, state, clock):
+        """Schedule a tick for what is due before the next coarse one."""
+        due = core.next_wakeup(state)
+        if due is None or not clock < due < clock + TICK_S:
+            return
+        # At least a millisecond, so that rounding cannot hold virtual time still.
+        at = self.now + max(due - clock, 0.001)
+        if not self.now < self.wakes.get(name, 0.0) <= at:
+            self.wakes[name] = at
+            self.at(at, lambda: self._event(name, core.tick))
 
     def _tick(self, name, state):
         if self.cores.get(name) is state:
             self._event(name, core.tick)
-            self.at(self.now + 0.25, lambda: self._tick(name, state))
+            self.at(self.now + TICK_S, lambda: self._tick(name, state))
 
     def _poll(self, name, state):
         if self.cores.get(name) is not state:
