--- /dev/null
+++ b/tests/test_bench_tasks.py
@@ -0,0 +1,53 @@
+"""Targets of the design, by figures that do not depend on the machine's speed."""
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from tools.bench_tasks import baseline_figures, core_figures, decision_cost, packing
+from tools.task_traces import misdeclared, month_end, route_rebuild
+
+
+def p99_s(figures, cls):
+    return figures.waits[cls].get_value_at_percentile(99) / 1000
+
+
+def test_short_work_does_not_wait_behind_long_work():
+    """Guards the target of a fifth of the baseline, and the bound for urgent work."""
+    trace = month_end()
+    figures, baseline = core_figures(trace), baseline_figures(trace)
+    assert_that(p99_s(figures, "short"), LessThan(p99_s(baseline, "short") / 5))
+    assert_that(p99_s(figures, "urgent"), LessThan(6.9))
+    assert_that(figures.unstarted, Equals({}))
+
+
+def test_gangs_never_starve_among_services_and_batch_work():
+    """Guards against a route rebuild that waits for the end of the night's batches."""
+    figures = core_figures(route_rebuild())
+    assert_that(figures.waits["gang"].get_total_count(), Equals(64))
+    assert_that(figures.unstarted, Equals({}))
+    # Both rebuilds start long before the work that was queued with them is done.
+    assert_that(p99_s(figures, "gang"), LessThan(120.0))
+
+
+def test_wave_is_packed_within_five_percent_of_the_lower_bound():
+    """Guards the packing target, on more than one wave."""
+    for seed in (4, 5, 6):
+        used, bound = packing(seed)
+        assert_that(used, LessThan(bound * 1.05))
+
+
+def test_decision_cost_at_most_doubles_at_eight_times_the_workers():
+    """Guards against a search that looks at a share of all workers."""
+    _, most, mean = decision_cost(820, 9_200, decisions=1_000)
+    _, most_large, mean_large = decision_cost(6_560, 73_600, decisions=1_000)
+    assert_that(mean_large, LessThan(2 * mean))
+    assert_that(most_large, LessThan(2 * most + 1))
+    assert_that(mean, LessThan(10.0))
+
+
+def test_workers_are_not_overloaded_by_sizes_declared_too_small():
+    """Guards against admission by declared sizes alone."""
+    trace = misdeclared()
+    figures, baseline = core_figures(trace), baseline_figures(trace)
+    assert_that(baseline.over_capacity, GreaterThan(0.0))
+    assert_that(figures.over_capacity, LessThan(baseline.over_capacity / 2))
--- a/tools/bench_tasks.py
+++ b/tools/bench_tasks.py
@@ -40,9 +40,10 @@
 
     ``waits`` maps classes to histograms of ms; ``unstarted`` to numbers of tasks that
     never started, which count as waiting until the end. ``busy`` is the share of
-    processors in use while work waited. ``calls_us`` is a histogram of the time of one
-    event. ``operations`` counts decisions, examined workers and, for the core, table
-    operations and calls.
+    processors in use by declared size while work waited, ``over_capacity`` the mean
+    real use above the capacity of a worker, as a share of it. ``calls_us`` is a
+    histogram of the time of one event. ``operations`` counts decisions, examined
+    workers and, for the core, table operations and calls.
     """
 
     waits: dict
@@ -73,14 +74,11 @@
         hist = self.waits.setdefault(cls, HdrHistogram(1, LONGEST_MS, 3))
         hist.record_value(min(max(int(wait_s * 1000), 1), LONGEST_MS))
 
-    def sample(self, now, used, waiting):
-        total = self.trace.workers * self.trace.capacity["cpu"]
-        if waiting:
-            self.busy.append(sum(used) / total)
-
-    def sample_real(self, real):
-        """Take real processor use by worker; ``over`` is the share above capacity."""
+    def sample(self, used, real, waiting):
+        """Take declared and real processors in use by worker."""
         limit = self.trace.capacity["cpu"]
+        if waiting:
+            self.busy.append(sum(used) / (limit * len(used)))
         self.over.append(sum(max(use - limit, 0) for use in real) / (limit * len(real)))
 
     def call(self, seconds):
@@ -149,8 +147,12 @@
     def sample():
         runs = [list(worker.running.values()) for worker in replay.workers.values()]
         used = [sum(run["demand"]["cpu"] for run in here) for here in runs]
+        real = [
+            sum(run["used"].get("cpu", run["demand"]["cpu"]) for run in here)
+            for here in runs
+        ]
         waiting = sum(len(job.waiting) for job in state.jobs.by_id.values())
-        rec.sample(replay.now, used, waiting)
+        rec.sample(used, real, waiting)
         replay.at(replay.now + SAMPLE_S, sample)
 
     replay.at(lead_s, sample)
@@ -248,6 +250,7 @@
     return [
         label,
         round(figures.busy, 3),
+        round(figures.over_capacity, 3),
         p50,
         p99,
         ops["decisions"],
@@ -266,7 +269,7 @@
     print(f"== {trace.name}: {len(trace.jobs)} jobs, {len(trace.runs)} tasks")
     headers = ["policy", "class", "tasks", "wait p50 s", "wait p99 s", "not started"]
     print(format_table(headers, rows))
-    headers = ["policy", "busy", "event p50 us", "event p99 us", "decisions"]
+    headers = ["policy", "busy", "over", "event p50 us", "event p99 us", "decisions"]
     print(format_table([*headers, "examined", "table ops"], costs))
     print()
 
--- a/tools/task_baselines.py
+++ b/tools/task_baselines.py
@@ -21,6 +21,7 @@
         size = (trace.capacity["cpu"], trace.capacity["memory_mb"])
         self.free = [list(size) for _ in range(trace.workers)]
         self.size = size
+        self.real = [0.0] * trace.workers
         self.queue = deque()
         self.events = []
         self.seq = itertools.count()
@@ -31,10 +32,10 @@
 def replay_first_fit(trace, on_start, on_sample, on_decision, sample_s=5.0):
     """Replay ``trace``.
 
-    ``on_start(now, task, cls, submitted_at)`` is told of each start, ``on_sample(now,
-    used, waiting)`` of the cpu in use by worker and of the cpu that waits, and
-    ``on_decision(seconds)`` of the time of each pass over the queue. Returns the
-    numbers of decisions and of workers examined.
+    ``on_start(now, task, cls, submitted_at)`` is told of each start, ``on_sample(used,
+    real, waiting)`` of the declared and real cpu in use by worker and of the cpu that
+    waits, and ``on_decision(seconds)`` of the time of each pass over the queue. Returns
+    the numbers of decisions and of workers examined.
     """
     cell = _Cell(trace)
     for at, cls, record in trace.jobs:
@@ -45,10 +46,12 @@
         now, _, kind, value = heapq.heappop(cell.events)
         if kind == "sample":
             used = [cell.size[0] - free[0] for free in cell.free]
-            on_sample(now, used, sum(_waiting_cpu(item) for item in cell.queue))
+            waiting = sum(_waiting_cpu(item) for item in cell.queue)
+            on_sample(used, list(cell.real), waiting)
             continue
         if kind == "end":
-            worker, demand = value
+            worker, demand, real = value
+            cell.real[worker] -= real
             cell.free[worker][0] += demand["cpu"]
             cell.free[worker][1] += demand["memory_mb"]
         else:
@@ -59,9 +62,11 @@
         for names, workers, demand, cls, at in started:
             for name, worker in zip(names, workers, strict=True):
                 on_start(now, name, cls, at)
+                real = trace.runs[name][1].get("cpu", demand["cpu"])
+                cell.real[worker] += real
                 end = now + trace.runs[name][0]
                 if end < math.inf:
-                    item = (end, next(cell.seq), "end", (worker, demand))
+                    item = (end, next(cell.seq), "end", (worker, demand, real))
                     heapq.heappush(cell.events, item)
     return cell.decisions, cell.examined
 
