--- a/cornelward/reservations.py
+++ b/cornelward/reservations.py
@@ -56,12 +56,12 @@
 
 
 def make_reservation(table, assigned, times, now, job, previous=None):
-    """Return the Reservation that starts the job's waiting tasks first, or None.
+    """Return the Reservation that starts a gang, or one task, first, or None.
 
     None means that they don't fit even when everything with an expected end has ended.
     A ``previous`` reservation keeps its time.
     """
-    count = len(job.waiting)
+    count = len(job.waiting) if job.type == "gang" else 1
     usable = [
         worker
         for worker in table.by_id.values()
--- a/cornelward/task_steps.py
+++ b/cornelward/task_steps.py
@@ -32,6 +32,9 @@
 LOOKAHEAD = 8
 # A gang that does not fit is not tried again at each event.
 GANG_RETRY_S = 0.1
+# A job at the head of its team's queue reserves a worker after this time: large tasks
+# would otherwise never find one with enough room while smaller ones arrive.
+AGED_S = 30.0
 # How often the reservation follows newer expectations, before and after its time.
 RESERVE_S = 2.0
 RESERVE_LATE_S = 30.0
@@ -103,8 +106,8 @@
 
 
 def _update_reservation(state, now, rnd):
-    """Try the first waiting gang, and reserve workers for it while it waits."""
-    head = _first_gang(state)
+    """Try the first gang or aged job, and reserve workers for it while it waits."""
+    head = _first_waiting(state, now)
     held = state.reservation
     if head is not None:
         _place_job(state, now, rnd, head)
@@ -121,6 +124,28 @@
         _renew_reservation(state, now, head, held)
 
 
+def _first_waiting(state, now):
+    """Return the first job that may reserve workers: a gang, or an aged job."""
+    found = [job for job in (_first_gang(state), _first_aged(state, now)) if job]
+    return min(found, key=lambda job: (-job.priority, job.seq), default=None)
+
+
+def _first_aged(state, now):
+    """Return the first job that has been at the head of its team's queue for long."""
+    found = None
+    for _, name in state.teams.waiting:
+        team = state.teams.by_name[name]
+        job = _live_job(state, team.queue[0])
+        if job is None or job.type == "gang":
+            continue
+        if job.queued_at is None:
+            job.queued_at = now
+        elif now - job.queued_at >= AGED_S and (found is None or job.seq < found.seq):
+            room = quota_room(state.teams, name, job.demand, 1)
+            found = job if room and not never_runnable(state, job) else found
+    return found
+
+
 def _first_gang(state):
     for entry in list(state.teams.gangs):
         job = _live_job(state, entry)
@@ -217,6 +242,7 @@
             counts[worker.rack] = counts.get(worker.rack, 0) + 1
         room -= 1
         placed = True
+        job.queued_at = None
     return placed
 
 
