Order a team's batch jobs by observed run time within a bound

Short work of a team goes before long work that arrived up to five of its run times earlier, at most 600 s.

--- a/cornelward/jobs.py
+++ b/cornelward/jobs.py
@@ -104,6 +104,7 @@
         "inbox",
         "key",
         "max_attempts",
+        "order",
         "preemptible",
         "priority",
         "queued_at",
@@ -153,6 +154,7 @@
     job.acks = []
     job.waiting = []
     job.queued_at = None
+    job.order = 0.0
     job.ended = 0
     table.seq += 1
     job.seq = table.seq
--- a/cornelward/quotas.py
+++ b/cornelward/quotas.py
@@ -9,6 +9,10 @@
 
 from .capacity import ZERO, Vector, fits, to_vector
 
+# A job is overtaken by work that arrives up to this many of its run times later.
+RUN_WEIGHT = 5.0
+MAX_RUN_OFFSET_S = 600.0
+
 __all__ = [
     "Team",
     "TeamTable",
@@ -17,6 +21,7 @@
     "drop_entry",
     "enqueue_job",
     "exceeds_quota",
+    "queue_order",
     "quota_room",
     "set_others",
     "set_quotas",
@@ -34,7 +39,7 @@
         self.quota = None
         self.used = ZERO
         self.others = ZERO
-        # (-priority, sequence number, job id): operators' priorities, then arrival.
+        # (-priority, order, sequence number, job id), see ``queue_order``.
         self.queue = SortedList()
         self.place = None
 
@@ -133,7 +138,7 @@
 
 def enqueue_job(table, job):
     """Queue a job that has waiting tasks; queued jobs are not queued twice."""
-    entry = (-job.priority, job.seq, job.id)
+    entry = (-job.priority, job.order, job.seq, job.id)
     if job.type == "gang" and entry not in table.gangs:
         table.gangs.add(entry)
     if job.urgent:
@@ -146,6 +151,15 @@
     _reorder(table, team)
 
 
+def queue_order(now, run_s):
+    """Return the place of a job that arrives now and typically runs ``run_s``.
+
+    Short work goes before long work that arrived earlier, within a bound, so that long
+    work cannot starve. Work of unknown length counts as short.
+    """
+    return now + min(RUN_WEIGHT * (run_s or 0.0), MAX_RUN_OFFSET_S)
+
+
 def drop_entry(table, team, entry):
     """Remove an entry from the team's queue."""
     team.queue.discard(entry)
--- a/cornelward/task_inbox.py
+++ b/cornelward/task_inbox.py
@@ -3,7 +3,15 @@
 from .capacity import add_charge
 from .job_writes import mark_dirty
 from .jobs import ACTIVE, CANCELLED, apply_policy, job_from_record, settle_job
-from .quotas import charge_team, enqueue_job, set_others, set_quotas, usage_value
+from .quotas import (
+    charge_team,
+    enqueue_job,
+    queue_order,
+    set_others,
+    set_quotas,
+    usage_value,
+)
+from .run_times import typical_run_s
 from .task_effects import ListRows, ReadRow, Txn
 
 __all__ = [
@@ -48,16 +56,18 @@
         return
     for row in rows:
         if row.value["id"] not in state.jobs.by_id:
-            _add_job(state, row)
+            _add_job(state, now, row)
     state.loaded = True
     state.inbox_at = now
     for worker in state.workers.by_id.values():
         worker.renew_at = now
 
 
-def _add_job(state, row):
+def _add_job(state, now, row):
     job = job_from_record(state.jobs, row.value, row.version)
     _apply_objects(state, job)
+    run_s = typical_run_s(state.run_times, job.workload)
+    job.order = queue_order(now, run_s if job.type == "batch" else 0.0)
     for task in job.tasks:
         if task.state in ACTIVE:
             state.assigned.setdefault(task.worker, {})[task.name] = task
@@ -140,7 +150,7 @@
     if row is None or job_id in state.jobs.by_id:
         return
     if row.version and job_id not in state.recently_done:
-        _add_job(state, row)
+        _add_job(state, now, row)
     elif not row.version:
         state.recently_done[job_id] = None
 
--- a/cornelward/task_steps.py
+++ b/cornelward/task_steps.py
@@ -91,7 +91,7 @@
 
 def _live_job(state, entry):
     """Return the job of a queue entry, or None when nothing of it waits."""
-    job = state.jobs.by_id.get(entry[2])
+    job = state.jobs.by_id.get(entry[-1])
     if job is None or job.final is not None or not job.waiting:
         return None
     return job
@@ -127,7 +127,7 @@
 def _first_waiting(state, now):
     """Return the first job that may reserve workers: a gang, or an aged job."""
     found = [job for job in (_first_gang(state), _first_aged(state, now)) if job]
-    return min(found, key=lambda job: (-job.priority, job.seq), default=None)
+    return min(found, key=lambda job: (-job.priority, job.order, job.seq), default=None)
 
 
 def _first_aged(state, now):
--- a/cornelward/waves.py
+++ b/cornelward/waves.py
@@ -46,7 +46,7 @@
     shapes, need, count = {}, [0.0, 0.0, 0.0], 0
     for _, name in state.teams.waiting:
         for entry in state.teams.by_name[name].queue.islice(0, MAX_TASKS):
-            job = state.jobs.by_id.get(entry[2])
+            job = state.jobs.by_id.get(entry[-1])
             if job is None or job.final is not None or not _is_plain(job):
                 continue
             tasks = len(job.waiting)
