--- a/cornelward/routing.py
+++ b/cornelward/routing.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from . import classes, errors, slots, views
+from .borrowing import IDLE_CREDIT_S, lend_first
 from .classes import LONG, SHORT
 from .queues import (
     FORWARDED,
@@ -43,6 +44,10 @@
 # was refused there.
 SPILL_WINDOW = 4
 SPILL_PAUSE_S = 1.0
+# How long a sign of leaving holds for an entry that does not own the executor.
+SIGNAL_S = 2.0
+
+NEVER = float("-inf")
 
 
 class Dispatch(NamedTuple):
@@ -71,7 +76,7 @@
 
 
 class Outcome(NamedTuple):
-    """How an attempt ended; ``error`` is set if the connection failed."""
+    """How an attempt ended; ``leaving`` stops new work until ``/health`` is live."""
 
     verdict: Verdict
     error: str | None = None
@@ -145,9 +150,9 @@
             effects.append(_refuse(state, work, errors.DEADLINE_EXCEEDED, message))
     while True:
         for cls in _class_order(service, now):
-            effect = _start_next(state, now, service, cls)
-            if effect is not None:
-                effects.append(effect)
+            started = _start_next(state, now, service, cls)
+            if started:
+                effects += started
                 break
         else:
             return effects
@@ -167,11 +172,13 @@
 def _start_next(state, now, service, cls):
     slot = _find_slot(state, now, service, cls)
     if slot is None:
-        return None
+        return []
+    if slot[0] is not None:
+        lent = lend_first(state, now, service, cls)
+        if lent:
+            return lent
     work = pop_work(service.queues[cls], now)
-    if work is None:
-        return None
-    return start(state, now, work, slot)
+    return [] if work is None else [start(state, now, work, slot)]
 
 
 def _find_slot(state, now, service, cls):
@@ -183,20 +190,19 @@
     credits = service.credits[cls]
     while credits:
         lease = credits.popleft()
-        if now < lease.usable_until and _is_usable(state, lease):
+        if now < lease.usable_until and _is_usable(state, now, lease):
             return None, lease
         state.unused.append(lease)
     return None
 
 
-def _is_usable(state, lease):
+def _is_usable(state, now, lease):
     executor = state.slots.executors.get(lease.credit.executor)
-    return (
-        executor is not None
-        and executor.listed == "live"
-        and executor.signal == "live"
-        and executor.address == lease.credit.address
-    )
+    if executor is None or executor.address != lease.credit.address:
+        return False
+    # Only owners ask for the health, so what others saw holds for a time.
+    signal_old = not executor.owned and now - executor.signal_at > SIGNAL_S
+    return executor.listed == "live" and (executor.signal == "live" or signal_old)
 
 
 def start(state, now, work, slot):
@@ -260,37 +266,34 @@
     service, executor = work.service, work.executor
     queue = service.queues[work.cls]
     queue.running -= 1
-    orphaned_until = None
+    orphan = None
     if outcome.verdict is Verdict.MAY_HAVE_RUN:
-        orphaned_until = now + service.policy.max_run_s
-    _note_signal(state, executor, outcome)
+        orphan = now, now + service.policy.max_run_s
+    _note_signal(state, now, executor, outcome)
     if work.credit is not None:
-        _end_credit(state, now, work, orphaned_until)
+        _end_credit(state, now, work, orphan)
     else:
-        slots.end_run(state.slots, executor, work.request.request_id, orphaned_until)
+        slots.end_run(state.slots, executor, work.request.request_id, orphan)
     if outcome.verdict is Verdict.RAN:
         _observe(state, work, outcome.run_s or now - work.started_at)
 
 
-def _note_signal(state, executor, outcome):
+def _note_signal(state, now, executor, outcome):
     if outcome.leaving:
-        executor.signal = "leaving"
-    elif outcome.error is not None:
-        executor.signal = "down"
-    else:
-        return
-    executor.probe_at = 0.0
-    slots.update_index(state.slots, executor)
+        slots.note_signal(state.slots, executor, "leaving", now)
+        executor.probe_at = NEVER
 
 
-def _end_credit(state, now, work, orphaned_until):
+def _end_credit(state, now, work, orphan):
     lease = work.credit
     work.credit = None
     state.credits_in_use.pop(lease.credit.credit_id, None)
-    if orphaned_until is not None:
+    if orphan is not None:
         # Neither returned nor reported: the owner counts the slot as an orphan.
         return
-    if now < lease.usable_until and work.service.queues[work.cls].count:
+    if now < lease.usable_until:
+        idle_until = min(lease.usable_until, now + IDLE_CREDIT_S)
+        lease = lease._replace(idle_until=idle_until)
         work.service.credits[work.cls].appendleft(lease)
     else:
         state.unused.append(lease)
