--- a/cornelward/task_steps.py
+++ b/cornelward/task_steps.py
@@ -20,15 +20,21 @@
     set_hold,
 )
 from .task_state import assign
+from .waves import place_wave
 
 __all__ = ["place_jobs"]
 
 # Bounds one step, so that leases are renewed in time while a wave is placed.
 MAX_DECISIONS = 64
+# Passes over the queues are this far apart, so that a wave is placed as a whole.
+PLACE_S = 0.05
 # Jobs behind the first of a team's queue that are tried when the first does not fit.
 LOOKAHEAD = 8
 # A gang that does not fit is not tried again at each event.
 GANG_RETRY_S = 0.1
+# A job at the head of its team's queue reserves a worker after this time: large tasks
+# would otherwise never find one with enough room while smaller ones arrive.
+AGED_S = 30.0
 # How often the reservation follows newer expectations, before and after its time.
 RESERVE_S = 2.0
 RESERVE_LATE_S = 30.0
@@ -48,13 +54,16 @@
     Returns the signals to tasks that urgent work preempts.
     """
     ready = state.loaded and state.config_version and not state.leaving
-    if not (state.place_wanted and ready and has_authority(state.own, now)):
+    ready = ready and state.place_wanted and now >= state.place_at
+    if not (ready and has_authority(state.own, now)):
         return []
+    state.place_at = now + PLACE_S
     rnd = _Round()
     state.place_wanted = False
     expire_holds(state, now)
     effects = _place_urgent(state, now, rnd)
     _update_reservation(state, now, rnd)
+    place_wave(state, now, rnd)
     order = list(state.teams.waiting)
     while order:
         if rnd.decisions >= MAX_DECISIONS:
@@ -82,7 +91,7 @@
 
 def _live_job(state, entry):
     """Return the job of a queue entry, or None when nothing of it waits."""
-    job = state.jobs.by_id.get(entry[2])
+    job = state.jobs.by_id.get(entry[-1])
     if job is None or job.final is not None or not job.waiting:
         return None
     return job
@@ -97,8 +106,8 @@
 
 
 def _update_reservation(state, now, rnd):
-    """Try the first waiting gang, and reserve workers for it while it waits."""
-    head = _first_gang(state)
+    """Try the first gang or aged job, and reserve workers for it while it waits."""
+    head = _first_waiting(state, now)
     held = state.reservation
     if head is not None:
         _place_job(state, now, rnd, head)
@@ -115,6 +124,28 @@
         _renew_reservation(state, now, head, held)
 
 
+def _first_waiting(state, now):
+    """Return the first job that may reserve workers: a gang, or an aged job."""
+    found = [job for job in (_first_gang(state), _first_aged(state, now)) if job]
+    return min(found, key=lambda job: (-job.priority, job.order, job.seq), default=None)
+
+
+def _first_aged(state, now):
+    """Return the first job that has been at the head of its team's queue for long."""
+    found = None
+    for _, name in state.teams.waiting:
+        team = state.teams.by_name[name]
+        job = _live_job(state, team.queue[0])
+        if job is None or job.type == "gang":
+            continue
+        if job.queued_at is None:
+            job.queued_at = now
+        elif now - job.queued_at >= AGED_S and (found is None or job.seq < found.seq):
+            room = quota_room(state.teams, name, job.demand, 1)
+            found = job if room and not never_runnable(state, job) else found
+    return found
+
+
 def _first_gang(state):
     for entry in list(state.teams.gangs):
         job = _live_job(state, entry)
@@ -211,6 +242,7 @@
             counts[worker.rack] = counts.get(worker.rack, 0) + 1
         room -= 1
         placed = True
+        job.queued_at = None
     return placed
 
 
