--- a/tests/processes.py
+++ b/tests/processes.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from tools.launch import Launcher, call_json, wait_until
+from tools.launch import Launcher, call_json, call_text, wait_until
 
-__all__ = ["call_json", "launcher", "wait_until"]
+__all__ = ["call_json", "call_text", "launcher", "wait_until"]
 
 
 @pytest.fixture
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -13,7 +13,7 @@
 import time
 from pathlib import Path
 
-__all__ = ["Launcher", "call_json", "wait_until"]
+__all__ = ["Launcher", "call_json", "call_text", "wait_until"]
 
 ROOT = Path(__file__).resolve().parent.parent
 READY_LIMIT_S = 30.0
@@ -38,21 +38,30 @@
 
 def call_json(address, method, path, value=None, timeout_s=5.0, headers=None):
     """Return (status, decoded body or None) of one HTTP call; raises OSError."""
+    status, data = _call(address, method, path, value, timeout_s, headers)
+    try:
+        return status, json.loads(data)
+    except ValueError:
+        return status, None
+
+
+def call_text(address, path):
+    """Return the text of one GET; raises OSError."""
+    return _call(address, "GET", path, None, 5.0, None)[1].decode("utf-8")
+
+
+def _call(address, method, path, value, timeout_s, headers):
     host, _, port = address.rpartition(":")
     conn = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
     try:
         body = None if value is None else json.dumps(value)
         conn.request(method, path, body, headers or {})
         answer = conn.getresponse()
-        data = answer.read()
+        return answer.status, answer.read()
     except http.client.HTTPException as exc:
         raise ConnectionError(repr(exc)) from exc
     finally:
         conn.close()
-    try:
-        return answer.status, json.loads(data)
-    except ValueError:
-        return answer.status, None
 
 
 class Program:
