--- a/cornelward/compose.py
+++ b/cornelward/compose.py
@@ -94,16 +94,19 @@
     return CornelwardError(f"{key} {cfg[key]}: {reason}", START_FAILED)
 
 
-def build_entry(cfg, loop=None, core=router):
-    """Return an entry that is bound and starts with its loop."""
-    holder = []
-    common = build_common(
+def _build_common_for(holder, cfg, loop):
+    """Return Common parts that call the process put into ``holder`` later."""
+    return build_common(
         cfg,
         lambda call: holder[0].handle(call),
         lambda envelope: holder[0].on_message(envelope),
         loop,
     )
-    identity = core.Identity(
+
+
+def _identity(common):
+    cfg = common.cfg
+    return router.Identity(
         cfg["id"],
         common.incarnation,
         cfg["failure_domain"],
@@ -111,6 +114,13 @@
         common.peers.address,
         common.server.address,
     )
+
+
+def build_entry(cfg, loop=None, core=router):
+    """Return an entry that is bound and starts with its loop."""
+    holder = []
+    common = _build_common_for(holder, cfg, loop)
+    identity = _identity(common)
     rng = random.Random(os.urandom(16))
     upstream = connect_upstream(common.client)
     entry = entry_shell.Entry(common, core, identity, rng, upstream)
@@ -123,20 +133,7 @@
 def build_scheduler(cfg, loop=None, core=task_scheduler):
     """Return a scheduler that is bound and starts with its loop."""
     holder = []
-    common = build_common(
-        cfg,
-        lambda call: holder[0].handle(call),
-        lambda envelope: holder[0].on_message(envelope),
-        loop,
-    )
-    identity = scheduler_shell.Identity(
-        cfg["id"],
-        common.incarnation,
-        cfg["failure_domain"],
-        cfg["region"],
-        common.peers.address,
-        common.server.address,
-    )
+    common = _build_common_for(holder, cfg, loop)
     registry = common.metrics.registry
     instruments = new_instruments(registry)
     # An answer later than the renewal interval is worth no more than the next one.
@@ -145,7 +142,7 @@
     )
     rng = random.Random(os.urandom(16))
     scheduler = scheduler_shell.Scheduler(
-        common, core, identity, rng, workers, instruments
+        common, core, _identity(common), rng, workers, instruments
     )
     if core is task_scheduler:
         add_collector(registry, scheduler.state, common.loop.now)
--- a/cornelward/scheduler.py
+++ b/cornelward/scheduler.py
@@ -4,43 +4,19 @@
 the settings are bad and with 3 when the process could not start.
 """
 
-import argparse
-import sys
-from pathlib import Path
-from typing import NamedTuple
-
 from . import config_follow
 from .api import serve_common
-from .errors import (
-    NOT_FOUND,
-    CornelwardError,
-    PlatformError,
-    RequestError,
-    SettingsError,
-)
-from .log import get_logger, setup_logging
+from .errors import NOT_FOUND, PlatformError, RequestError
+from .log import get_logger
 from .messages import ConfigAnnounce, ConfigRequest, JobNotice
 from .platform_client import Conflict
-from .settings import SCHEDULER, load_settings
+from .process import run_process
+from .settings import SCHEDULER
 
-__all__ = ["Identity", "Scheduler", "begin_leave", "main", "start"]
+__all__ = ["Scheduler", "begin_leave", "main", "start"]
 
 log = get_logger("scheduler")
 
-EXIT_BAD_SETTINGS = 2
-EXIT_START_FAILED = 3
-
-
-class Identity(NamedTuple):
-    """Who this scheduler is; ``incarnation`` grows from one start to the next."""
-
-    id: str
-    incarnation: int
-    failure_domain: str
-    region: str
-    peer_address: str
-    http_address: str
-
 
 class Scheduler:
     """State of one scheduler process.
@@ -269,27 +245,12 @@
 
 def main(argv=None):
     """Run a scheduler until a signal; returns the exit code."""
-    parser = argparse.ArgumentParser(prog="cornelward-scheduler", description=__doc__)
-    parser.add_argument("settings", help="path of the settings file")
-    args = parser.parse_args(argv)
     # The composition root imports this module.
     from .compose import build_scheduler
 
-    try:
-        cfg = load_settings(args.settings, SCHEDULER)
-        setup_logging(cfg["log_level"], cfg["log_file"], id=cfg["id"])
-        scheduler = build_scheduler(cfg)
-        if cfg["ready_file"]:
-            address = scheduler.identity.http_address
-            Path(cfg["ready_file"]).write_text(address, encoding="ascii")
-    except SettingsError as exc:
-        print(f"cornelward-scheduler: {exc.message}", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
-    except (CornelwardError, OSError) as exc:
-        print(f"cornelward-scheduler: {exc}", file=sys.stderr)
-        return EXIT_START_FAILED
-    scheduler.loop.run()
-    return 0
+    return run_process(
+        "cornelward-scheduler", SCHEDULER, build_scheduler, __doc__, argv
+    )
 
 
 if __name__ == "__main__":
