Add tools/capacity.py, which measures the slopes of each role

Cause: the control budgets need figures of this machine. Change: parts idle, tasks, entry, heartbeats, config and urgent, each in a cell of its own; processor time of all threads from schedstat, memory from VmRSS, bytes from whole exchanges.

--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,359 @@
+"""Measures what each part of the system costs on this machine.
+
+``python -m tools.capacity [part ...]`` prints a table in Markdown; the parts are
+idle, tasks, entry, heartbeats, config and urgent. All load is on loopback. Memory is
+resident memory, processor time covers all threads of a process.
+"""
+
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+from cornelward.messages import Heartbeat, HeartbeatAck, encode
+
+from .capacity_cell import Cell, base_objects, cpu_s, exchange_bytes, rss_kb, window
+from .launch import Launcher, call_json, wait_until
+
+__all__ = ["main"]
+
+# Workers and running tasks of one failure domain at the design size.
+WORKERS = 137
+TASKS = 1_530
+CALLERS = 1_000
+PEERS = 3
+CHANGES = 10
+SETTLE_S = 4.0
+
+
+def _cpu(program):
+    return lambda: cpu_s(program)
+
+
+def _control(cell, schedulers=1, entries=1, teams=1):
+    """Start entries and schedulers with a configuration in force."""
+    entries = [cell.start("cornelward.entry", id=f"e{i}") for i in range(entries)]
+    schedulers = [
+        cell.start("cornelward.scheduler", id=f"s{i}") for i in range(schedulers)
+    ]
+    cell.publish(entries[0], base_objects(teams))
+    cell.wait_ready([*entries, *schedulers])
+    return entries, schedulers
+
+
+def _wait_workers(cell, scheduler, count):
+    wait_until(
+        lambda: cell.metric(scheduler, "cornelward_workers_accepting") == count,
+        f"{count} workers accept tasks",
+    )
+
+
+def measure_idle(cell):
+    """Each program without work: one entry, owner, standby, worker, executor."""
+    entries, schedulers = _control(cell, schedulers=2)
+    worker = cell.start("standins.worker", id="w")
+    executor = cell.start("standins.executor", id="x", service="quotes")
+    _wait_owner(schedulers)
+    owner = _owner(schedulers)
+    standby = next(s for s in schedulers if s is not owner)
+    programs = {
+        "entry": entries[0],
+        "scheduler, owner of 1 worker": owner,
+        "scheduler, standby": standby,
+        "stand-in worker": worker,
+        "stand-in executor": executor,
+        "stand-in platform": cell.platform,
+    }
+    time.sleep(SETTLE_S)
+    rates = window({name: _cpu(p) for name, p in programs.items()})
+    for name, program in programs.items():
+        yield f"idle, {name}: processor", 100 * rates[name], "% of a core"
+        yield f"idle, {name}: memory", rss_kb(program) / 1024, "MB"
+    reads = window({"reads": lambda: cell.counts()[0]})["reads"]
+    writes = window({"writes": lambda: cell.counts()[1]})["writes"]
+    yield "table reads, 1 entry + owner + standby", reads, "1/s"
+    yield "table writes, 1 entry + owner + standby", writes, "1/s"
+
+
+def _owner(schedulers):
+    for program in schedulers:
+        if program.popen.poll() is not None:
+            continue
+        state = call_json(program.address, "GET", "/state")[1]
+        if state["scheduler"]["owner"]["loaded"]:
+            return program
+    return None
+
+
+def _wait_owner(schedulers):
+    return wait_until(lambda: _owner(schedulers), "an owner")
+
+
+def measure_tasks(cell):
+    """Workers, running tasks and task starts of one owner."""
+    (entry,), (scheduler,) = _control(cell)
+    few = _sample_owner(cell, scheduler, workers=1)
+    many = _sample_owner(cell, scheduler, workers=WORKERS - 1, total=WORKERS)
+    renewals = many["renewals"] - few["renewals"]
+    renew_us = 1e6 * (many["cpu"] - few["cpu"]) / renewals
+    yield "lease renewal: owner's processor", renew_us, "µs"
+    worker_kb = (many["rss"] - few["rss"]) / (WORKERS - 1)
+    yield "worker: owner's memory", worker_kb, "KB"
+    yield f"owner of {WORKERS} workers: processor", 100 * many["cpu"], "% of a core"
+    for size in (510, 510, 510):
+        cell.submit(entry, "service", size, {"service": True})
+    _wait_running(scheduler, TASKS)
+    time.sleep(SETTLE_S)
+    loaded = _sample(cell, scheduler)
+    yield "running task: owner's memory", (loaded["rss"] - many["rss"]) / TASKS, "KB"
+    text = f"owner of {WORKERS} workers and {TASKS} tasks"
+    yield f"{text}: processor", 100 * loaded["cpu"], "% of a core"
+    yield f"{text}: memory", loaded["rss"] / 1024, "MB"
+    reported = TASKS * loaded["renewals"] / WORKERS
+    task_us = 1e6 * (loaded["cpu"] - many["cpu"]) / reported
+    yield "running task in a renewal: owner's processor", task_us, "µs"
+    yield f"{text}: table reads", loaded["reads"], "1/s"
+    yield f"{text}: table writes", loaded["writes"], "1/s"
+    yield from _renewal_bytes(cell)
+    for jobs, size in ((100, 1), (20, 20)):
+        yield from _measure_starts(cell, entry, scheduler, loaded, jobs, size)
+
+
+def _sample_owner(cell, scheduler, workers, total=1):
+    cell.start("standins.worker", id=f"w{total}", count=workers)
+    _wait_workers(cell, scheduler, total)
+    time.sleep(SETTLE_S)
+    return _sample(cell, scheduler)
+
+
+def _sample(cell, scheduler):
+    name = 'cornelward_worker_calls_total{operation="renew"'
+    # Two windows: asking for the metrics costs the scheduler processor time.
+    cpu = window({"cpu": _cpu(scheduler)})
+    rest = window(
+        {
+            "renewals": lambda: cell.metric(scheduler, name),
+            "reads": lambda: cell.counts()[0],
+            "writes": lambda: cell.counts()[1],
+        }
+    )
+    return {**cpu, **rest, "rss": rss_kb(scheduler)}
+
+
+def _running_tasks(scheduler):
+    state = call_json(scheduler.address, "GET", "/state")[1]["scheduler"]
+    return sum(worker["tasks"] for worker in state["workers"])
+
+
+def _wait_running(scheduler, count):
+    wait_until(lambda: _running_tasks(scheduler) == count, f"{count} tasks", 120)
+
+
+def _renewal_bytes(cell):
+    members = call_json(cell.platform.address, "GET", "/members")[1]["instances"]
+    addresses = [item["address"] for item in members if item["kind"] == "worker"]
+    body = {"epoch": 1, "owner": "s0", "lease_until_ms": 0, "ack": []}
+    sizes = {}
+    for address in addresses[:40]:
+        status, report = call_json(address, "POST", "/lease", body)
+        if status == 200:
+            size = exchange_bytes(address, "POST", "/lease", body)
+            sizes[len(report["running"])] = size
+    low, high = min(sizes), max(sizes)
+    slope = (sizes[high] - sizes[low]) / max(1, high - low)
+    yield "lease renewal without tasks", sizes[low] - slope * low, "bytes"
+    yield "running task in a renewal", slope, "bytes"
+    start = {"task": "a1.0123456789abcdef01234567.100", "attempt": 1, "epoch": 0}
+    start |= {"demand": {"cpu": 1, "memory_mb": 100, "accelerators": 0}}
+    start |= {"lease_until_ms": 90_000_000_000, "run": {"ms": 100}}
+    size = exchange_bytes(addresses[0], "POST", "/tasks", start)
+    yield "start command", size, "bytes"
+    size = exchange_bytes(cell.platform.address, "GET", "/members")
+    yield f"membership list of {len(members)} instances", size, "bytes"
+
+
+def _measure_starts(cell, entry, scheduler, background, jobs, size):
+    """Run jobs to their end; background costs are subtracted."""
+    start = time.monotonic()
+    cpu, entry_cpu, (reads, writes) = cpu_s(scheduler), cpu_s(entry), cell.counts()
+    ids = [cell.submit(entry, "batch", size, {"ms": 100}) for _ in range(jobs)]
+    submitted_s = time.monotonic() - start
+    # Watched from outside the table and the entry, so that neither is counted.
+    wait_until(lambda: not _unfinished(scheduler, ids), "all jobs end", 120)
+    elapsed_s = time.monotonic() - start
+    counts = cell.counts()
+    tasks = jobs * size
+    cpu_us = 1e6 * (cpu_s(scheduler) - cpu - background["cpu"] * elapsed_s) / tasks
+    text = f"task start and end, jobs of {size}"
+    yield f"{text}: owner's processor", cpu_us, "µs"
+    for name, total, rate in (
+        ("reads", counts[0] - reads, background["reads"]),
+        ("writes", counts[1] - writes, background["writes"]),
+    ):
+        yield f"{text}: table {name}", (total - rate * elapsed_s) / tasks, ""
+    entry_us = 1e6 * (cpu_s(entry) - entry_cpu) / jobs
+    yield f"job submission: entry's processor (jobs of {size})", entry_us, "µs"
+    yield f"{text}: rate in this run", tasks / elapsed_s, "1/s"
+    yield f"{text}: submissions", jobs / submitted_s, "1/s"
+
+
+def _unfinished(scheduler, ids):
+    state = call_json(scheduler.address, "GET", "/state")[1]["scheduler"]
+    return {job["id"] for job in state["jobs"]} & set(ids)
+
+
+def measure_entry(cell):
+    """Open caller connections and queued requests of one entry."""
+    (entry,), _ = _control(cell)
+    cell.start("standins.executor", id="x", service="quotes", run_ms=600_000)
+    wait_until(lambda: _instances(cell) == 1, "the executor is listed")
+    time.sleep(SETTLE_S)
+    before = rss_kb(entry)
+    host, _, port = entry.address.rpartition(":")
+    request = (
+        f"POST /v1/services/quotes/price HTTP/1.1\r\nHost: {entry.address}\r\n"
+        "X-Timeout-Ms: 600000\r\nContent-Length: 200\r\n\r\n" + "x" * 200
+    ).encode("ascii")
+    socks = [socket.create_connection((host, int(port))) for _ in range(CALLERS)]
+    time.sleep(SETTLE_S)
+    opened = rss_kb(entry)
+    yield "open caller connection: entry's memory", (opened - before) / CALLERS, "KB"
+    for sock in socks:
+        sock.sendall(request)
+    wait_until(
+        lambda: cell.metric(entry, "cornelward_open_requests") == CALLERS,
+        "all requests are open",
+    )
+    time.sleep(SETTLE_S)
+    queued = rss_kb(entry)
+    yield "queued request: entry's memory", (queued - opened) / CALLERS, "KB"
+    text = f"entry with {CALLERS} callers and queued requests"
+    yield f"{text}: memory", queued / 1024, "MB"
+    rate = window({"cpu": _cpu(entry)})["cpu"]
+    yield f"{text}, at rest: processor", 100 * rate, "% of a core"
+    for sock in socks:
+        sock.close()
+
+
+def _instances(cell):
+    return len(call_json(cell.platform.address, "GET", "/members")[1]["instances"])
+
+
+def measure_heartbeats(cell):
+    """Processor time of heartbeats: one entry alone, then with peers."""
+    (entry,), _ = _control(cell)
+    time.sleep(SETTLE_S)
+    alone = window({"cpu": _cpu(entry)})["cpu"]
+    peers = [cell.start("cornelward.entry", id=f"p{i}") for i in range(PEERS)]
+    cell.wait_ready(peers)
+    time.sleep(2 * SETTLE_S)
+    together = window({"cpu": _cpu(entry)})["cpu"]
+    # At 0.5 s: two sent and two received a second, each with its reply.
+    beats = 4 * PEERS
+    beat_us = 1e6 * (together - alone) / beats
+    yield "heartbeat with its reply: entry's processor", beat_us, "µs"
+    beat = Heartbeat(7, 100_000, 1e6, 300, {"quotes": 100}, {"quotes": 8}, [])
+    size = len(encode("e0", 1, beat)) + len(encode("e0", 1, HeartbeatAck(7, 1, 1e6)))
+    yield "heartbeat with its reply", size, "bytes"
+
+
+def measure_config(cell):
+    """Cost of a configuration change with 220 teams, and when it is in force."""
+    entries, schedulers = _control(cell, schedulers=2, entries=PEERS, teams=220)
+    programs = [*entries, *schedulers]
+    time.sleep(SETTLE_S)
+    idle = window({p.folder.name: _cpu(p) for p in programs})
+    before = {p.folder.name: cpu_s(p) for p in programs}
+    start = time.monotonic()
+    slowest_s = 0.0
+    for number in range(CHANGES):
+        changed = base_objects(220)
+        changed[-1]["demand"] = {"cpu": 1, "memory_mb": 100 + number}
+        begin = time.monotonic()
+        version = cell.publish(entries[0], changed)
+        wait_until(
+            lambda version=version: all(_version(p) >= version for p in programs),
+            "the version is in force",
+        )
+        slowest_s = max(slowest_s, time.monotonic() - begin)
+    elapsed_s = time.monotonic() - start
+    cost = {
+        p.folder.name: cpu_s(p)
+        - before[p.folder.name]
+        - idle[p.folder.name] * elapsed_s
+        for p in programs
+    }
+    yield f"configuration change, slowest of {CHANGES} in force", slowest_s, "s"
+    text = "configuration change (220 teams, queries for the version included)"
+    publisher_ms = 1000 * cost[entries[0].folder.name] / CHANGES
+    yield f"{text}: publishing entry's processor", publisher_ms, "ms"
+    other_ms = 1000 * cost[entries[1].folder.name] / CHANGES
+    yield f"{text}: other entry's processor", other_ms, "ms"
+    scheduler_ms = 1000 * cost[schedulers[0].folder.name] / CHANGES
+    yield f"{text}: scheduler's processor", scheduler_ms, "ms"
+    path = f"/table/config/doc/{cell.version}"
+    size = exchange_bytes(cell.platform.address, "GET", path)
+    yield "configuration document (220 teams), one transfer", size, "bytes"
+
+
+def _version(program):
+    # The dump of a scheduler is small here: it has no workers and no jobs.
+    path = "/v1/status" if "entry" in program.folder.name else "/state"
+    return call_json(program.address, "GET", path)[1]["config_version"]
+
+
+def measure_urgent(cell):
+    """Time from submission to the start of urgent work on full workers."""
+    (entry,), schedulers = _control(cell, schedulers=2)
+    record = cell.launcher.folder / "record"
+    workers = {"cpu": 4.0, "record_file": str(record), "count": 3}
+    cell.start("standins.worker", id="w", **workers)
+    owner = _wait_owner(schedulers)
+    _wait_workers(cell, owner, 3)
+    cell.submit(entry, "batch", 12, {"ms": 600_000})
+    _wait_running(owner, 12)
+
+    def urgent():
+        begin = time.monotonic()
+        job_id = cell.submit(entry, "urgent", 1, {"ms": 600_000})
+        wait_until(lambda: job_id in record.read_text(), "the urgent task runs")
+        return time.monotonic() - begin
+
+    yield "urgent task on full workers: start", max(urgent() for _ in range(3)), "s"
+    owner.signal(signal.SIGKILL)
+    owner.popen.wait()
+    yield "urgent task, owner killed just before: start", urgent(), "s"
+
+
+PARTS = {
+    "idle": measure_idle,
+    "tasks": measure_tasks,
+    "entry": measure_entry,
+    "heartbeats": measure_heartbeats,
+    "config": measure_config,
+    "urgent": measure_urgent,
+}
+
+
+def main(argv=None):
+    """Measure the parts that are named, or all; returns the exit code."""
+    names = (sys.argv[1:] if argv is None else argv) or list(PARTS)
+    unknown = [name for name in names if name not in PARTS]
+    if unknown:
+        print(f"unknown part {unknown[0]}; parts: {', '.join(PARTS)}", file=sys.stderr)
+        return 2
+    print("| part | measured | value | unit |\n|---|---|---:|---|")
+    for name in names:
+        with tempfile.TemporaryDirectory() as folder:
+            launcher = Launcher(folder)
+            try:
+                for text, value, unit in PARTS[name](Cell(launcher)):
+                    print(f"| {name} | {text} | {value:,.4g} | {unit} |", flush=True)
+            finally:
+                launcher.close()
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
