--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -14,13 +14,14 @@
 from cornelward.errors import PlatformError
 from cornelward.metrics import new_metrics
 from cornelward.platform_client import Conflict, Row
+from cornelward.router import Identity
 from cornelward.scheduler_metrics import Instruments
 from cornelward.settings import SCHEDULER
 from cornelward.task_effects import ListRows, ReadRow, SignalTask, StartTask, Txn
 from cornelward.worker_client import Workers
 
 LIMIT_S = 30
-IDENTITY = shell.Identity("s1", 1, "a1", "a", "127.0.0.1:1", "127.0.0.1:2")
+IDENTITY = Identity("s1", 1, "a1", "a", "127.0.0.1:1", "127.0.0.1:2")
 START = StartTask("w1", "127.0.0.1:3", {"task": "t1", "attempt": 2})
 
 
