--- a/cornelward/settings.py
+++ b/cornelward/settings.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+import re
 
 from .errors import SettingsError
 from .readers import read_json
@@ -84,6 +85,10 @@
 
 REQUIRED = ("id", "failure_domain", "region", "platform_address")
 
+# Parts of table keys and of HTTP headers.
+NAMES = ("id", "failure_domain", "region")
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+
 ADDRESSES = ("http_address", "peer_address", "platform_address")
 
 # A lease must survive one lost renewal.
@@ -94,13 +99,19 @@
 )
 
 
-def _is_address(value):
+# Settings that must not exceed another one.
+AT_MOST = (("default_timeout_ms", "max_timeout_ms"),)
+
+
+def _is_address(value, lowest_port=0):
     host, _, port = value.rpartition(":")
     try:
-        ipaddress.ip_address(host)
-        return 0 <= int(port) <= 65_535
+        # Others connect to the address as written, so 0.0.0.0 is no address.
+        unspecified = ipaddress.ip_address(host).is_unspecified
     except ValueError:
         return False
+    digits = port.isascii() and port.isdigit() and len(port) <= 5
+    return digits and not unspecified and lowest_port <= int(port) <= 65_535
 
 
 def _type_problem(value, default):
@@ -109,7 +120,7 @@
         return None if ok else "a number"
     if isinstance(default, list):
         ok = isinstance(value, list) and all(
-            isinstance(item, str) and _is_address(item) for item in value
+            isinstance(item, str) and _is_address(item, 1) for item in value
         )
         return None if ok else "a list of addresses (ip:port)"
     ok = isinstance(value, type(default)) and not isinstance(value, bool)
@@ -121,8 +132,13 @@
         low, high = RANGES[key]
         if not low <= value <= high:
             return f"a value from {low} to {high}"
-    if key in ADDRESSES and value and not _is_address(value):
-        return "an address (ip:port)"
+    if key in ADDRESSES and value:
+        # Port 0 lets the system choose, which only a listener can.
+        lowest_port = 1 if key == "platform_address" else 0
+        if not _is_address(value, lowest_port):
+            return "an address (ip:port)"
+    if key in NAMES and value and not NAME.fullmatch(value):
+        return "a name (letters, digits, '.', '_', '-'; at most 63 characters)"
     if key == "log_level" and value not in LOG_LEVELS:
         return "one of " + ", ".join(LOG_LEVELS)
     return None
@@ -154,6 +170,9 @@
             raise SettingsError(
                 f"{source}: key {lease!r}: expected at least twice {renew!r}"
             )
+    for low, high in AT_MOST:
+        if low in cfg and cfg[low] > cfg[high]:
+            raise SettingsError(f"{source}: key {low!r}: expected at most {high!r}")
     return cfg
 
 
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,159 @@
+"""Guards against bad settings that start a process, and against unclear refusals."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, StartsWith
+
+from cornelward.errors import SettingsError
+from cornelward.settings import (
+    COMMON,
+    ENTRY,
+    RANGES,
+    REQUIRED,
+    SCHEDULER,
+    check_settings,
+    load_settings,
+)
+
+GOOD = {
+    "id": "e1",
+    "failure_domain": "coast",
+    "region": "coast",
+    "platform_address": "127.0.0.1:7000",
+}
+PROGRAMS = {"entry": ENTRY, "scheduler": SCHEDULER}
+
+
+@pytest.fixture
+def refusal(tmp_path):
+    """Return ``refusal(text, defaults)``: the message, which names the file."""
+    path = tmp_path / "node.json"
+
+    def refusal(text, defaults=ENTRY):
+        path.write_bytes(text if isinstance(text, bytes) else text.encode())
+        with pytest.raises(SettingsError) as caught:
+            load_settings(path, defaults)
+        message = caught.value.message
+        assert_that(message, StartsWith(f"{path}: "))
+        assert_that(message.count("\n"), Equals(0))
+        return message.removeprefix(f"{path}: ")
+
+    return refusal
+
+
+def test_good_settings_with_comments(tmp_path):
+    path = tmp_path / "node.json"
+    path.write_text("// an entry\n" + json.dumps(GOOD) + "/* end */")
+    cfg = load_settings(path, ENTRY)
+    assert_that(cfg, Equals({**ENTRY, **GOOD}))
+    # Whole numbers are good values of settings in seconds.
+    cfg = check_settings({**GOOD, "heartbeat_s": 1}, ENTRY, "x")
+    assert_that(cfg["heartbeat_s"], Equals(1))
+
+
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_defaults_are_within_their_ranges(program):
+    defaults = PROGRAMS[program]
+    check_settings(GOOD, defaults, "defaults")
+    numbers = {k for k, v in defaults.items() if isinstance(v, int | float)}
+    assert_that(numbers - set(RANGES), Equals(set()))
+    for key in numbers:
+        low, high = RANGES[key]
+        assert low <= defaults[key] <= high
+
+
+@pytest.mark.parametrize("key", REQUIRED)
+def test_required_key(refusal, key):
+    without = {k: v for k, v in GOOD.items() if k != key}
+    for value in (without, {**GOOD, key: ""}):
+        assert_that(refusal(json.dumps(value)), Equals(f"key {key!r} is required"))
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "expected"),
+    [
+        ("heartbeat", 1, "unknown key 'heartbeat'; expected one of: config_poll_s"),
+        ("id", 5, "expected a string"),
+        ("id", "a/b", "expected a name"),
+        ("failure_domain", "a\r\nX-Evil: 1", "expected a name"),
+        ("tick_s", "0.25", "expected a number"),
+        ("tick_s", True, "expected a number"),
+        ("tick_s", None, "expected a number"),
+        ("tick_s", 0, "expected a value from 0.05 to 1"),
+        ("max_connections", 1.5, "expected a whole number"),
+        ("max_connections", True, "expected a whole number"),
+        ("max_connections", 0, "expected a value from 1 to 20000"),
+        ("http_address", "localhost:80", "expected an address (ip:port)"),
+        ("http_address", "127.0.0.1", "expected an address (ip:port)"),
+        ("http_address", "127.0.0.1:65536", "expected an address (ip:port)"),
+        ("http_address", "127.0.0.1:-1", "expected an address (ip:port)"),
+        ("http_address", "0.0.0.0:80", "expected an address (ip:port)"),
+        ("platform_address", "127.0.0.1:0", "expected an address (ip:port)"),
+        ("seeds", "127.0.0.1:1", "expected a list of addresses"),
+        ("seeds", ["127.0.0.1:0"], "expected a list of addresses"),
+        ("seeds", [7], "expected a list of addresses"),
+        ("log_level", "loud", "expected one of debug, info, warning, error"),
+        ("view_lease_s", 0.6, "expected at least twice 'heartbeat_s'"),
+        ("default_timeout_ms", 700_000, "expected at most 'max_timeout_ms'"),
+    ],
+)
+def test_bad_value_names_file_key_and_expectation(refusal, key, value, expected):
+    message = refusal(json.dumps({**GOOD, key: value}))
+    assert_that(message, Contains(f"key {key!r}"))
+    assert_that(message, Contains(expected))
+
+
+def test_lease_of_a_scheduler_outlives_a_lost_renewal(refusal):
+    for renew, lease in (("owner_renew_s", "owner_lease_s"),):
+        value = {**GOOD, renew: 2, lease: 3.9}
+        assert_that(refusal(json.dumps(value), SCHEDULER), Contains(f"key {lease!r}"))
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("", "not valid JSON"),
+        ("{", "not valid JSON"),
+        ('{"id": "e1"} x', "not valid JSON"),
+        ("[" * 100_000, "not valid JSON"),
+        (b"\xff\xfe", "not UTF-8"),
+        ("[]", "expected an object at the top level"),
+        ("null", "expected an object at the top level"),
+    ],
+)
+def test_unreadable_file(refusal, text, expected):
+    assert_that(refusal(text), Contains(expected))
+
+
+def test_missing_file_and_folder(tmp_path):
+    for path in (tmp_path / "none.json", tmp_path):
+        with pytest.raises(SettingsError) as caught:
+            load_settings(path, ENTRY)
+        assert_that(caught.value.message, StartsWith(f"{path}: "))
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.sampled_from(sorted({*ENTRY, *SCHEDULER, *COMMON})),
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=20)
+    | st.lists(st.text(max_size=5) | st.integers(), max_size=2)
+    | st.dictionaries(st.text(max_size=3), st.integers(), max_size=2),
+)
+def test_any_value_is_accepted_within_range_or_refused_by_name(key, value):
+    defaults = ENTRY if key in ENTRY else SCHEDULER
+    try:
+        cfg = check_settings({**GOOD, key: value}, defaults, "node.json")
+    except SettingsError as exc:
+        assert_that(exc.message, StartsWith("node.json: key "))
+        return
+    if key in RANGES:
+        low, high = RANGES[key]
+        assert low <= cfg[key] <= high
