--- a/cornelward/http_client.py
+++ b/cornelward/http_client.py
@@ -59,17 +59,33 @@
 class _Connection:
     """One socket; ``exchange`` is None while it is idle."""
 
-    __slots__ = ("addr", "connected", "exchange", "out", "parser", "size", "sock")
+    __slots__ = (
+        "addr",
+        "connected",
+        "exchange",
+        "keep_alive",
+        "out",
+        "parser",
+        "reusable",
+        "size",
+        "sock",
+    )
 
     def __init__(self, addr, sock):
         self.addr = addr
         self.sock = sock
         self.connected = False
+        self.reusable = True
+        self.keep_alive = False
         self.exchange = None
         self.out = b""
         self.size = 0
         self.parser = httptools.HttpResponseParser(self)
 
+    def on_message_begin(self):
+        if self.exchange.done:
+            raise ValueError("bytes after the answer")
+
     def on_header(self, name, value):
         headers = self.exchange.headers
         headers[name.decode("latin-1").lower()] = value.decode("latin-1")
@@ -81,6 +97,8 @@
         self.exchange.body.append(data)
 
     def on_message_complete(self):
+        # The parser forgets this once the message is complete.
+        self.keep_alive = self.parser.should_keep_alive()
         # 1xx answers are interim: the final one follows on the same connection.
         if self.parser.get_status_code() >= 200:
             self.exchange.done = True
@@ -203,8 +221,11 @@
         try:
             conn.parser.feed_data(data)
         except httptools.HttpParserError:
-            self._close(conn, "bad_answer")
-            return
+            if not conn.exchange.done:
+                self._close(conn, "bad_answer")
+                return
+            # The next request must not get what follows a whole answer.
+            conn.reusable = False
         if conn.exchange.done:
             self._finish(conn)
 
@@ -219,7 +240,7 @@
         conn.size = 0
         status = conn.parser.get_status_code()
         idle = self._idle.setdefault(conn.addr, deque())
-        whole = not conn.out and conn.parser.should_keep_alive()
+        whole = conn.reusable and conn.keep_alive and not conn.out
         if whole and len(idle) < self._max_idle:
             conn.parser = httptools.HttpResponseParser(conn)
             idle.append(conn)
--- a/cornelward/http_server.py
+++ b/cornelward/http_server.py
@@ -5,11 +5,11 @@
 answers leave in the order of the requests.
 """
 
+import itertools
 import time
 
 import msgspec
 from circuits import BaseComponent, handler
-from circuits.net.events import close, write
 from circuits.net.sockets import TCPServer
 from circuits.web import wrappers
 from circuits.web.events import request, response
@@ -25,7 +25,13 @@
 
 log = get_logger("http_server")
 
+_channel_numbers = itertools.count(1)
 SWEEP_INTERVAL_S = 1.0
+LINGER_S = 1.0
+MAX_WAITING = 8
+# Bodies of pipelined requests beyond this are left in the socket; answers that a caller
+# does not read hold up its next request.
+MAX_BUFFERED_BYTES = 262_144
 JSON = "application/json"
 REASONS = {400: "Bad Request", 408: "Request Timeout", 413: "Content Too Large"}
 REASONS |= {431: "Request Header Fields Too Large", 503: "Service Unavailable"}
@@ -94,12 +100,14 @@
 class _Connection:
     """State of one accepted connection."""
 
-    __slots__ = ("call", "close_after", "framer", "read_at")
+    __slots__ = ("call", "close_after", "framer", "lingering", "paused", "read_at")
 
     def __init__(self, framer, now):
         self.framer = framer
         self.call = None
         self.close_after = False
+        self.lingering = False
+        self.paused = False
         self.read_at = now
 
 
@@ -113,17 +121,18 @@
     def __init__(self, server, handle, limits, channel):
         super().__init__(server, channel=channel)
         self.connections = {}
+        self.draining = False
         self._handle = handle
         self._limits = limits
 
     @handler("connect")
     def _on_connect(self, sock, *peer):
         if len(self.connections) >= self._limits.max_connections:
-            self.fire(close(sock))
+            self._close(sock)
             return
 
         def send_continue():
-            self.fire(write(sock, b"HTTP/1.1 100 Continue\r\n\r\n"))
+            self._send(sock, b"HTTP/1.1 100 Continue\r\n\r\n")
 
         framer = RequestFramer(
             self._limits.max_header_bytes, self._limits.max_body_bytes, send_continue
@@ -154,6 +163,29 @@
                 return
             # Whole requests before the bad bytes are still answered.
         self._next(sock, conn)
+        self._pause_reading(sock, conn)
+
+    def _pause_reading(self, sock, conn):
+        """Leave further bytes in the socket while much waits its turn.
+
+        The end of the connection is not noticed meanwhile.
+        """
+        requests = conn.framer.requests
+        waiting = len(requests) > MAX_WAITING or (
+            sum(len(req.body) for req in requests) > MAX_BUFFERED_BYTES
+        )
+        if waiting == conn.paused or sock not in self.connections:
+            return
+        conn.paused = waiting
+        server = self._server.server
+        if waiting:
+            server._poller.removeReader(sock)
+        else:
+            server._poller.addReader(server, sock)
+
+    def _buffered(self, sock):
+        """Return how many bytes wait until the caller reads its earlier answers."""
+        return sum(map(len, self._server.server._buffers.get(sock, ())))
 
     def reject(self, sock, status, message):
         """Answer a request that never reached a handler, and close."""
@@ -163,12 +195,56 @@
             f"Content-Type: {JSON}\r\nContent-Length: {len(body)}\r\n"
             "Connection: close\r\n\r\n"
         )
-        self.fire(write(sock, head.encode("ascii") + body))
-        self.fire(close(sock))
+        self._send(sock, head.encode("ascii") + body)
+        self._linger(sock)
+
+    def _send(self, sock, data):
+        """Send now what the socket takes; circuits sends the rest.
+
+        An event would run later, when the socket may be closed: circuits then keeps
+        the closed socket and its bytes for ever.
+        """
+        server = self._server.server
+        if sock.fileno() < 0:
+            return
+        if not server._buffers.get(sock):
+            try:
+                data = data[sock.send(data) :]
+            except BlockingIOError:
+                pass
+            except OSError:
+                server._close(sock)
+                return
+        if data:
+            server.write(sock, data)
+
+    def _close(self, sock):
+        """Close once the buffered bytes are sent."""
+        if sock.fileno() >= 0:
+            self._server.server.close(sock)
+
+    def _linger(self, sock):
+        """Discard what still arrives for a while, then close.
+
+        Closing with unread bytes resets the connection, and the caller may lose the
+        answer that it has not read yet.
+        """
+        conn = self.connections.get(sock)
+        if conn is None or sock.fileno() < 0:
+            return
+        conn.close_after = True
+        conn.lingering = True
+        conn.framer.requests.clear()
+        conn.framer.receiving = False
+        conn.read_at = time.monotonic()
+        self._pause_reading(sock, conn)
 
     def _next(self, sock, conn):
         if conn.call is not None or not conn.framer.requests:
             return
+        if self._buffered(sock) > MAX_BUFFERED_BYTES:
+            # The sweep goes on once the caller has read its answers.
+            return
         framed = conn.framer.requests.pop(0)
         req = wrappers.Request(
             sock,
@@ -216,36 +292,55 @@
             return
         res.prepare()
         # A request behind malformed bytes never gets an answer, so say so at once.
-        closing = res.close or (conn.close_after and not conn.framer.requests)
+        ending = self.draining or conn.close_after
+        closing = res.close or (ending and not conn.framer.requests)
         if closing:
             res.headers["Connection"] = "close"
         body = b"" if res.request.method == "HEAD" else b"".join(res.body)
-        self.fire(write(sock, bytes(res) + bytes(res.headers) + body))
+        self._send(sock, bytes(res) + bytes(res.headers) + body)
         res.done = True
         conn.call = None
         conn.read_at = time.monotonic()
-        if closing:
+        if closing and (conn.close_after or conn.framer.requests):
+            self._linger(sock)
+        elif closing:
             conn.close_after = True
-            self.fire(close(sock))
+            self._close(sock)
         else:
             self._next(sock, conn)
+            self._pause_reading(sock, conn)
 
     @handler("exception", override=True)
     def _on_exception(self, *args, **kwargs):
         # circuits.web would send the traceback to the caller.
         log("error", "event_failed", exc=repr(args[1] if len(args) > 1 else args))
 
+    def close_idle(self):
+        """Close the connections on which no request has begun."""
+        for sock, conn in list(self.connections.items()):
+            if conn.call is None and not conn.framer.receiving:
+                conn.close_after = True
+                self._close(sock)
+
     def sweep(self, now):
         """Close idle connections and those that never finish a request."""
         for sock, conn in list(self.connections.items()):
             if conn.call is not None:
                 continue
-            silent_s = now - conn.read_at
-            if conn.framer.receiving and silent_s > self._limits.receive_timeout_s:
-                conn.close_after = True
-                self.reject(sock, 408, "the request was not received in time")
-            elif silent_s > self._limits.idle_timeout_s:
-                self.fire(close(sock))
+            if conn.framer.requests:
+                self._next(sock, conn)
+                self._pause_reading(sock, conn)
+                continue
+            self._sweep_silent(sock, conn, now - conn.read_at)
+
+    def _sweep_silent(self, sock, conn, silent_s):
+        if conn.lingering:
+            if silent_s > LINGER_S:
+                self._close(sock)
+        elif conn.framer.receiving and silent_s > self._limits.receive_timeout_s:
+            self.reject(sock, 408, "the request was not received in time")
+        elif silent_s > self._limits.idle_timeout_s:
+            self._close(sock)
 
 
 class HttpServer(BaseComponent):
@@ -254,11 +349,12 @@
     Raises OSError if the address is in use.
     """
 
-    channel = "web"
     display_banner = False
     secure = False
 
-    def __init__(self, loop, bind, handle, limits=None, channel="web"):
+    def __init__(self, loop, bind, handle, limits=None):
+        # Servers that share a loop would take each other's events from one channel.
+        channel = f"web{next(_channel_numbers)}"
         super().__init__(channel=channel)
         self.server = TCPServer(bind, channel=channel, bufsize=65_536).register(self)
         self.http = _GuardedHTTP(self, handle, limits or Limits(), channel)
@@ -279,6 +375,24 @@
         """Return "ip:port" as bound."""
         return f"{self.host}:{self.port}"
 
+    def start_draining(self):
+        """Close each connection after its next answer; idle ones stay open."""
+        self.http.draining = True
+
+    def stop_accepting(self):
+        """Close the listening socket and idle connections."""
+        self.http.draining = True
+        if self.server._sock is not None:
+            self.server.close(self.server._sock)
+        self.http.close_idle()
+
+    def is_drained(self):
+        """Return whether no request is being received or answered."""
+        conns = self.http.connections
+        if any(c.call is not None or c.framer.receiving for c in conns.values()):
+            return False
+        return not any(self.server._buffers.get(sock) for sock in conns)
+
     def open_calls(self):
         """Return how many requests wait for their answer."""
         return sum(c.call is not None for c in self.http.connections.values())
