Run due timers at once instead of after the next timer or input

circuits shortens the poll only for events that other threads fire, so a call fired by the timer component waited for the following timer or input: up to the 250 ms tick in an entry, for ever in the load generator, whose test hung at the third arrival. The wait is now set to 0 when a timer is due. The new test fails without the change.

--- a/cornelward/loop.py
+++ b/cornelward/loop.py
@@ -98,5 +98,8 @@
             function = heapq.heappop(timers)[2]
             if function is not None:
                 self.fire(call(function))
+                # circuits shortens the wait only for events of other threads, so the
+                # call would run after the next timer or input.
+                event.reduce_time_left(0)
         if timers:
             event.reduce_time_left(max(0.0, timers[0][0] - now))
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,6 +1,9 @@
 """Guards the timers: order, cancellation, repetition after a failure."""
 
+import threading
+
 import pytest
+from circuits.core.events import generate_events
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -41,3 +44,13 @@
 
     loop.call_every(0.01, fail)
     assert_that(loop.run_until(lambda: len(ran) >= 3, LIMIT_S), Equals(True))
+
+
+def test_due_timer_does_not_wait_for_the_next_timer_or_input(loop):
+    ran = []
+    loop.call_later(0, lambda: ran.append("due"))
+    loop.call_later(LIMIT_S, lambda: ran.append("far"))
+    event = generate_events(threading.RLock(), -1)
+    loop.fire(event)
+    loop.flush()
+    assert_that(event.time_left, Equals(0))
