Make the timer test fail without its fix

The test now starts the loop first; without the change it fails, as the event still waits for the far timer.

--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -47,9 +47,10 @@
 
 
 def test_due_timer_does_not_wait_for_the_next_timer_or_input(loop):
-    ran = []
-    loop.call_later(0, lambda: ran.append("due"))
-    loop.call_later(LIMIT_S, lambda: ran.append("far"))
+    assert loop.run_until(lambda: True, LIMIT_S)
+    loop.flush()
+    loop.call_later(0, lambda: None)
+    loop.call_later(2, lambda: None)
     event = generate_events(threading.RLock(), -1)
     loop.fire(event)
     loop.flush()
