Add the demo: two failure domains, requests and jobs, judged by the records

The stand-ins' records decide, not the answers alone: each accepted request ran once and its answer is its own, each task started once, no worker or executor got more than it has, and entries and schedulers end with exit code 0. A run that judged the cancelled service too early failed; it now waits until the workers run nothing.

--- a/cornelward/cli.py
+++ b/cornelward/cli.py
@@ -375,3 +375,7 @@
     verdict = getattr(exc, "verdict", None)
     text = getattr(exc, "message", None) or str(exc)
     return f"{text} [{verdict}]" if verdict else text
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,317 @@
+"""``python -m tools.demo``: a small cluster on loopback with work sent through it.
+
+Exits with 0 only if every accepted piece of work came out right. With ``--keep`` the
+cluster stays up until it is interrupted.
+"""
+
+import argparse
+import json
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from cornelward.writers import format_table
+
+from .demo_cluster import KEPT_PORT, operate, start_cluster, wait_ready
+from .launch import call_json, wait_until
+
+__all__ = ["main"]
+
+SEED = 7
+REQUESTS = 400
+RATE = 80.0
+CALLERS = 48
+REQUEST_LIMIT_S = 30.0
+JOB_LIMIT_S = 30.0
+DUMP_LINES = 24
+# Operation: share of the requests, run time in milliseconds.
+MIX = {"quote": (0.75, 10), "report": (0.1, 400), "book": (0.15, 20)}
+JOBS = ("phone-bridge", "manifests", "route-rebuild")
+FINAL = ("succeeded", "failed", "cancelled", "refused", "lost")
+
+
+class Tally:
+    """What happened to the work of one kind; ``wrong`` lists faults."""
+
+    def __init__(self):
+        self.sent = self.answered = self.started = self.finished = 0
+        self.waits_ms = []
+        self.wrong = []
+
+
+def plan_requests():
+    """Yield (due seconds, operation, request id), the same in each run."""
+    rng = random.Random(SEED)
+    operations, shares = list(MIX), [share for share, _ in MIX.values()]
+    due = 0.0
+    for number in range(REQUESTS):
+        due += rng.expovariate(RATE)
+        operation = rng.choices(operations, shares)[0]
+        yield due, operation, f"demo-{operation}-{number}"
+
+
+def send_requests(entries):
+    """Send all requests; returns a list of (operation, id, status, body, elapsed)."""
+    start = time.monotonic()
+
+    def send(number, due, operation, request_id):
+        time.sleep(max(0.0, start + due - time.monotonic()))
+        body = {"run_ms": MIX[operation][1], "id": request_id}
+        headers = {"X-Request-Id": request_id, "Idempotency-Key": request_id}
+        path = f"/v1/services/pickup/{operation}"
+        sent_at = time.monotonic()
+        try:
+            status, answer = call_json(
+                entries[number % len(entries)],
+                "POST",
+                path,
+                body,
+                REQUEST_LIMIT_S,
+                headers,
+            )
+        except OSError as exc:
+            status, answer = None, repr(exc)
+        return operation, request_id, status, answer, time.monotonic() - sent_at
+
+    with ThreadPoolExecutor(CALLERS) as pool:
+        plan = enumerate(plan_requests())
+        futures = [pool.submit(send, i, *request) for i, request in plan]
+        return [future.result() for future in futures]
+
+
+def judge_requests(results, executors):
+    """Return a Tally for each operation, judged by the executors' records."""
+    records = [call_json(address, "GET", "/record")[1] for address in executors]
+    runs = {}
+    for request_id, *_ in (run for record in records for run in record["ran"]):
+        runs[request_id] = runs.get(request_id, 0) + 1
+    tallies = {operation: Tally() for operation in MIX}
+    for operation, request_id, status, answer, elapsed_s in results:
+        tally, run_ms = tallies[operation], MIX[operation][1]
+        tally.sent += 1
+        tally.started += request_id in runs
+        problem = _request_problem(request_id, status, answer, runs.get(request_id, 0))
+        if problem:
+            tally.wrong.append(f"{request_id}: {problem}")
+        if status == 200:
+            tally.answered += 1
+            tally.finished += 1
+            tally.waits_ms.append(max(0.0, elapsed_s * 1000 - run_ms))
+    for address, record in zip(executors, records, strict=True):
+        if record["max_in_flight"] > 8:
+            text = f"executor {address} had {record['max_in_flight']} in flight"
+            tallies["quote"].wrong.append(text)
+    return tallies
+
+
+def _request_problem(request_id, status, answer, runs):
+    if status == 200:
+        if answer.get("id") != request_id:
+            return f"got the answer {answer}"
+        return None if runs == 1 else f"answered once, ran {runs} times"
+    error = (answer or {}).get("error", {}) if isinstance(answer, dict) else {}
+    if error.get("verdict") == "NOT_RUN" and runs == 0:
+        # A refusal that is true; the request was not accepted.
+        return None
+    return f"status {status}, answer {answer}, ran {runs} times"
+
+
+def submit_jobs(entries):
+    """Submit the jobs by the operators' command; returns (workload, id, time)."""
+    jobs = []
+    for number, workload in enumerate(JOBS):
+        submitted = time.monotonic()
+        entry = entries[number % len(entries)]
+        out = operate(
+            "submit", workload, "--key", f"demo-{workload}", "--json", entry=entry
+        )
+        jobs.append((workload, json.loads(out)["id"], submitted))
+    return jobs
+
+
+def read_job(entry, job_id):
+    """Return the record of a job, or an empty one when the entry did not answer."""
+    try:
+        status, record = call_json(entry, "GET", f"/v1/jobs/{job_id}")
+    except OSError:
+        return {"state": "unknown", "tasks": []}
+    return record if status == 200 else {"state": f"status {status}", "tasks": []}
+
+
+def follow_jobs(entries, jobs):
+    """Wait for the jobs to end (the service: to run, then to be cancelled)."""
+    entry, states = entries[0], {}
+    for workload, job_id, _ in jobs:
+        wanted = ("running",) if workload == "phone-bridge" else ()
+
+        def reached(job_id=job_id, wanted=wanted):
+            record = read_job(entry, job_id)
+            running = all(task["state"] == "running" for task in record["tasks"])
+            ended = record["state"] in FINAL
+            return ended or (record["state"] in wanted and running)
+
+        _wait_quietly(reached, f"job {job_id}")
+        states[workload] = read_job(entry, job_id)["state"]
+        if states[workload] == "running":
+            operate("cancel", job_id, entry=entry)
+    job_id = jobs[0][1]
+    _wait_quietly(lambda: read_job(entry, job_id)["state"] in FINAL, f"job {job_id}")
+    states["cancelled service"] = read_job(entry, job_id)["state"]
+    return states
+
+
+def _wait_quietly(condition, what):
+    try:
+        wait_until(condition, what, JOB_LIMIT_S)
+    except AssertionError as exc:
+        print(f"demo: {exc}", file=sys.stderr)
+
+
+def running_tasks(workers):
+    """Return the tasks that run on the workers now."""
+    records = [call_json(address, "GET", "/record")[1] for address in workers]
+    return [task for record in records for task in record["running"]]
+
+
+def judge_jobs(jobs, states, workers):
+    """Return a Tally for each job, judged by the workers' records."""
+    records = [call_json(address, "GET", "/record")[1] for address in workers]
+    events = [event for record in records for event in record["events"]]
+    tallies = {}
+    for workload, job_id, submitted in jobs:
+        tally = tallies[workload] = Tally()
+        own = [e for e in events if e[2] == job_id or e[2].startswith(f"{job_id}.")]
+        starts = [e for e in own if e[0] == "start"]
+        tally.sent = tally.answered = 1
+        tally.started = len({e[2] for e in starts})
+        tally.finished = len({e[2] for e in own if e[0] == "end"})
+        tally.waits_ms = [(e[4] - submitted) * 1000 for e in starts]
+        if len(starts) != tally.started:
+            tally.wrong.append(f"{len(starts)} starts of {tally.started} tasks")
+        if tally.started != tally.finished or not starts:
+            tally.wrong.append(f"{tally.started} started, {tally.finished} ended")
+        expected = "running" if workload == "phone-bridge" else "succeeded"
+        if states[workload] != expected:
+            tally.wrong.append(f"state {states[workload]}, expected {expected}")
+    if states["cancelled service"] != "cancelled":
+        text = f"state {states['cancelled service']} after the cancellation"
+        tallies["phone-bridge"].wrong.append(text)
+    for record in records:
+        if any(
+            record["greatest"][r] > record["capacity"][r] for r in record["greatest"]
+        ):
+            text = f"worker {record['worker']} was given more than it has"
+            tallies["manifests"].wrong.append(text)
+    return tallies
+
+
+def show(tallies):
+    """Print one line for each kind and all faults; returns whether all was right."""
+    rows = []
+    for kind, tally in tallies.items():
+        waits = sorted(tally.waits_ms) or [0.0]
+        p50, p99 = waits[len(waits) // 2], waits[int(len(waits) * 0.99)]
+        counts = (tally.sent, tally.answered, tally.started, tally.finished)
+        rows.append((kind, *counts, f"{p50:.0f}", f"{p99:.0f}", len(tally.wrong)))
+    headers = ("KIND", "SENT", "ACCEPTED", "STARTED", "FINISHED")
+    headers += ("WAIT P50 MS", "WAIT P99 MS", "WRONG")
+    print(format_table(headers, rows, sys.stdout.isatty()))
+    print(
+        "STARTED and FINISHED count tasks for jobs; the service ends by cancellation."
+    )
+    wrong = [text for tally in tallies.values() for text in tally.wrong]
+    for text in wrong[:20]:
+        print(f"wrong: {text}")
+    return not wrong
+
+
+def run_work(cluster):
+    """Send the work and stop the daemons; returns whether all came out right."""
+    entries = cluster.addresses("cornelward.entry")
+    jobs = submit_jobs(entries)
+    results = send_requests(entries)
+    states = follow_jobs(entries, jobs)
+    tallies = judge_requests(results, cluster.addresses("standins.executor"))
+    workers = cluster.addresses("standins.worker")
+    # A cancelled job is final before its workers got the stop signals.
+    _wait_quietly(lambda: not running_tasks(workers), "workers without tasks")
+    tallies |= judge_jobs(jobs, states, workers)
+    right = show(tallies)
+    dump = operate("dump", entry=entries[0]).splitlines()
+    print(f"\nstate of entry {entries[0]}, first lines of {len(dump)}:")
+    print("\n".join(dump[:DUMP_LINES]))
+    failed = cluster.stop_daemons()
+    for name, code in failed.items():
+        print(f"wrong: {name} ended with exit code {code}")
+    return right and not failed
+
+
+def show_addresses(cluster):
+    """Print where the programs listen."""
+    rows = [
+        (program.settings["id"], program.address, program.pid)
+        for program in cluster.launcher.programs
+    ]
+    print(format_table(("PROGRAM", "ADDRESS", "PID"), rows, sys.stdout.isatty()))
+    print(f"\nexport CORNELWARD_ENTRY={cluster.addresses('cornelward.entry')[0]}")
+
+
+def _interrupt(signo, frame):
+    raise KeyboardInterrupt
+
+
+def run_demo(folder, keep, port):
+    """Run the demo with its files in ``folder``; returns the exit code."""
+    cluster = start_cluster(folder, port)
+    try:
+        entry = cluster.addresses("cornelward.entry")[0]
+        print(operate("apply", "examples/demo", entry=entry).strip())
+        wait_ready(cluster, 1)
+        if not keep:
+            return 0 if run_work(cluster) else 1
+        show_addresses(cluster)
+        print(f"logs are in {folder}; Ctrl-C stops everything", flush=True)
+        signal.pause()
+    except KeyboardInterrupt:
+        print("interrupted: stopping", file=sys.stderr)
+        return 0 if keep else 130
+    finally:
+        cluster.launcher.close()
+
+
+def main(argv=None):
+    """Run the demo; returns the exit code."""
+    parser = argparse.ArgumentParser(prog="tools.demo", description=__doc__)
+    parser.add_argument("--keep", action="store_true", help="stay up until interrupted")
+    parser.add_argument(
+        "--port",
+        type=int,
+        help=f"first port; 0 takes free ones (default: {KEPT_PORT} with --keep)",
+    )
+    args = parser.parse_args(argv)
+    signal.signal(signal.SIGTERM, _interrupt)
+    started = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="cornelward-demo-") as folder:
+        try:
+            port = KEPT_PORT if args.keep and args.port is None else args.port or 0
+            code = run_demo(folder, args.keep, port)
+        except KeyboardInterrupt:
+            return 130
+        except subprocess.CalledProcessError as exc:
+            print(f"demo: {exc.stderr.strip()}", file=sys.stderr)
+            return 1
+        except AssertionError as exc:
+            print(f"demo: {exc}", file=sys.stderr)
+            return 1
+    print(
+        f"{'right' if code == 0 else 'failed'} after {time.monotonic() - started:.0f} s"
+    )
+    return code
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/tools/demo_cluster.py
@@ -0,0 +1,131 @@
+"""The processes of the demo: stand-ins, entries and schedulers on loopback."""
+
+import signal
+import subprocess
+import sys
+
+from .launch import ROOT, Launcher, call_json, wait_until
+
+__all__ = ["DOMAINS", "KEPT_PORT", "Cluster", "operate", "start_cluster"]
+
+DOMAINS = ("laurentides", "monteregie")
+ENTRIES = SCHEDULERS = EXECUTORS = 2
+WORKERS = 4
+WORKERS_PER_RACK = 2
+EXECUTOR = {"service": "pickup", "slots": 8, "connections": 64}
+WORKER = {"cpu": 32.0, "memory_mb": 65_536.0, "accelerators": 1.0}
+READY_LIMIT_S = 30.0
+COMMAND_LIMIT_S = 60.0
+
+# The kept demo has fixed ports, so that the commands in docs/ run as written.
+KEPT_PORT = 7600
+PORT_OFFSETS = {
+    "standins.platform": 0,
+    "cornelward.entry": 1,
+    "cornelward.scheduler": 11,
+    "standins.executor": 21,
+    "standins.worker": 31,
+}
+
+
+class Cluster:
+    """The started programs by module."""
+
+    def __init__(self, launcher, port):
+        self.launcher = launcher
+        self.port = port
+        self.programs = {}
+
+    def start(self, module, settings):
+        """Start a program without waiting for it."""
+        programs = self.programs.setdefault(module, [])
+        offset = PORT_OFFSETS[module] + len(programs)
+        port = self.port + offset if self.port else 0
+        settings = {"http_address": f"127.0.0.1:{port}", **settings}
+        program = self.launcher.start(module, settings, wait=False)
+        programs.append(program)
+        return program
+
+    def addresses(self, module):
+        """Return the addresses of the ready programs of a module."""
+        return [program.address for program in self.programs[module]]
+
+    def stop_daemons(self):
+        """Stop entries and schedulers gracefully; returns those that failed."""
+        modules = ("cornelward.entry", "cornelward.scheduler")
+        programs = [program for m in modules for program in self.programs[m]]
+        for program in programs:
+            program.signal(signal.SIGTERM)
+        codes = {p.settings["id"]: p.popen.wait(COMMAND_LIMIT_S) for p in programs}
+        return {name: code for name, code in codes.items() if code != 0}
+
+
+def start_cluster(folder, port=0):
+    """Start every program and wait until all answer; returns the Cluster.
+
+    ``port`` is the platform's, with the others' above it; 0 takes free ones.
+
+    The caller closes ``cluster.launcher``; if the start fails, all are ended here.
+    """
+    cluster = Cluster(Launcher(folder), port)
+    try:
+        platform = cluster.start("standins.platform", {"id": "platform"}).wait_ready()
+        for domain in DOMAINS:
+            _start_domain(cluster, domain, platform.address)
+        for program in cluster.launcher.programs:
+            program.wait_ready()
+    except BaseException:
+        cluster.launcher.close()
+        raise
+    return cluster
+
+
+def _start_domain(cluster, domain, platform_address):
+    place = {"failure_domain": domain, "region": domain}
+    place["platform_address"] = platform_address
+    for i in range(EXECUTORS):
+        name = f"executor-{domain}-{i}"
+        cluster.start("standins.executor", {"id": name, **place, **EXECUTOR})
+    for i in range(WORKERS):
+        rack = f"{domain}-r{i // WORKERS_PER_RACK}"
+        name = f"worker-{domain}-{i}"
+        cluster.start("standins.worker", {"id": name, "rack": rack, **place, **WORKER})
+    for i in range(ENTRIES):
+        cluster.start("cornelward.entry", {"id": f"entry-{domain}-{i}", **place})
+    for i in range(SCHEDULERS):
+        name = f"scheduler-{domain}-{i}"
+        cluster.start("cornelward.scheduler", {"id": name, **place})
+
+
+def wait_ready(cluster, version):
+    """Wait until every entry and scheduler has the version and is ready."""
+
+    def ready(address):
+        return call_json(address, "GET", "/readyz")[0] == 200 and (
+            call_json(address, "GET", "/state")[1]["config_version"] >= version
+        )
+
+    for module in ("cornelward.entry", "cornelward.scheduler"):
+        for address in cluster.addresses(module):
+            wait_until(
+                lambda address=address: ready(address),
+                f"{address} ready with version {version}",
+                READY_LIMIT_S,
+            )
+
+
+def operate(*argv, entry=None):
+    """Run the operators' command; returns its standard output.
+
+    Raises CalledProcessError, whose ``stderr`` has the message, for exit codes but 0.
+    """
+    options = ["--entry", entry] if entry else []
+    done = subprocess.run(
+        [sys.executable, "-m", "cornelward.cli", *argv, *options],
+        cwd=ROOT,
+        check=True,
+        capture_output=True,
+        text=True,
+        timeout=COMMAND_LIMIT_S,
+    )
+    return done.stdout
