--- a/tools/demo.py
+++ b/tools/demo.py
@@ -293,6 +293,8 @@
         help=f"first port; 0 takes free ones (default: {KEPT_PORT} with --keep)",
     )
     args = parser.parse_args(argv)
+    # A shell starts background commands with SIGINT ignored.
+    signal.signal(signal.SIGINT, _interrupt)
     signal.signal(signal.SIGTERM, _interrupt)
     started = time.monotonic()
     with tempfile.TemporaryDirectory(prefix="cornelward-demo-") as folder:
