--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+from circuits import BaseComponent, handler
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -83,3 +84,29 @@
         loop.cancel(loop.call_later(3_600, lambda: None))
     assert len(loop._timers) < 3_000
     assert kept in loop._timers
+
+
+class WaitRecorder(BaseComponent):
+    """Records how long the poller is about to wait."""
+
+    channel = "loop"
+
+    def __init__(self):
+        super().__init__(channel="loop")
+        self.waits = []
+
+    # The poller's own handler has priority -9.
+    @handler("generate_events", priority=-8)
+    def _on_generate_events(self, event):
+        self.waits.append(event.time_left)
+
+
+def test_due_timer_does_not_wait_for_the_next_timer_or_input(loop):
+    recorder = WaitRecorder().register(loop)
+    assert loop.run_until(lambda: recorder.waits, LIMIT_S)
+    while len(loop):
+        loop.flush()
+    recorder.waits.clear()
+    loop.call_later(0, lambda: None)
+    loop.tick(0.05)
+    assert_that(recorder.waits, Equals([0]))
