--- a/cornelward/loop.py
+++ b/cornelward/loop.py
@@ -144,5 +144,7 @@
                 self._cancelled -= 1
             else:
                 self.fire(call(functools.partial(self._run_timer, timer)))
+                # Events fired here do not shorten the poller's wait by themselves.
+                event.reduce_time_left(0)
         if timers:
             event.reduce_time_left(max(0.0, timers[0][0] - now))
