--- /dev/null
+++ b/cornelward/http_call.py
@@ -0,0 +1,69 @@
+"""One request of an HTTP server and its answer."""
+
+import msgspec
+
+from .errors import STATUS_OF_CODE
+
+__all__ = ["JSON", "Call", "Limits", "error_body"]
+
+JSON = "application/json"
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """Bounds of one server; times in seconds."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    max_connections: int = 2_000
+    idle_timeout_s: float = 60.0
+    receive_timeout_s: float = 10.0
+
+
+def error_body(code, message, verdict=None, **details):
+    """Return the JSON body of a refusal."""
+    error = {"code": code, "message": message}
+    if verdict is not None:
+        error["verdict"] = str(verdict)
+    error.update({k: v for k, v in details.items() if v is not None})
+    return msgspec.json.encode({"error": error})
+
+
+class Call:
+    """One request waiting for its answer."""
+
+    __slots__ = ("_finish", "answered", "closed", "on_closed", "request")
+
+    def __init__(self, request, finish):
+        self.request = request
+        self.answered = False
+        self.closed = False
+        self.on_closed = None
+        self._finish = finish
+
+    def answer(self, status, body=b"", content_type=JSON, headers=()):
+        """Send the answer; only the first one counts."""
+        if self.answered:
+            return
+        self.answered = True
+        if not self.closed:
+            self._finish(status, body, content_type, headers)
+
+    def answer_json(self, status, value, headers=()):
+        """Send ``value`` as a JSON answer."""
+        self.answer(status, msgspec.json.encode(value), JSON, headers)
+
+    def refuse(self, exc, status=None, **details):
+        """Send a CornelwardError as a JSON refusal."""
+        retry_after_ms = getattr(exc, "retry_after_ms", None)
+        self.answer(
+            status or STATUS_OF_CODE.get(exc.code, 500),
+            error_body(
+                exc.code,
+                exc.message,
+                exc.verdict,
+                retry_after_ms=retry_after_ms,
+                **details,
+            ),
+            JSON,
+            (("X-Verdict", str(exc.verdict)),) if exc.verdict else (),
+        )
