Free orphaned slots only on proof; do not return duplicate credits

A run is subtracted only if its answer is still missing 1.5 s after a report; a credit never is. Late grants are ignored now; the owner finds the slot by /health.

--- a/cornelward/borrowing.py
+++ b/cornelward/borrowing.py
@@ -9,6 +9,7 @@
 
 from . import slots, views
 from .classes import LONG, SHORT
+from .leases import LEASE_MARGIN_S
 from .messages import Credit, SlotGrant, SlotRequest, SlotReturn
 from .views import CREDIT_TTL_S, SendMessage
 
@@ -205,18 +206,16 @@
     if service is None or grant.cls not in (SHORT, LONG):
         return
     state.asked.pop((sender, grant.service, grant.cls), None)
+    if now >= usable_until:
+        # Not returned: it may be a duplicate of a credit that is in use.
+        return
+    idle_until = min(usable_until, now + IDLE_CREDIT_S)
     for credit in grant.credits:
         key = sender, incarnation, credit.credit_id
-        # A duplicate arrives within the credit's time or is useless anyway.
-        if key in state.seen_credits:
-            continue
-        state.seen_credits[key] = usable_until
-        idle_until = min(usable_until, now + IDLE_CREDIT_S)
-        lease = Lease(credit, (sender, incarnation), usable_until, idle_until)
-        if now < usable_until:
+        if key not in state.seen_credits:
+            state.seen_credits[key] = usable_until
+            lease = Lease(credit, (sender, incarnation), usable_until, idle_until)
             service.credits[grant.cls].appendleft(lease)
-        else:
-            state.unused.append(lease)
 
 
 def return_unused(state, now, service):
@@ -295,16 +294,19 @@
             continue
         if credit.borrower == borrower and credit_id in in_use:
             credit.in_use_at = credit.in_use_at or now
-        elif now > credit.usable_until + slots.LEASE_MARGIN_S:
+        elif now > credit.usable_until + LEASE_MARGIN_S:
             orphan_credit(state, now, credit_id)
 
 
 def orphan_credit(state, now, credit_id):
     """Keep the slot of a credit that nobody answers for as an orphan."""
-    executor = state.slots.credits[credit_id].executor
+    credit = state.slots.credits[credit_id]
+    executor = credit.executor
     service = state.services.get(executor.service)
     max_run_s = service.policy.max_run_s if service else 0.0
-    slots.return_credit(state.slots, credit_id, (now, now + max_run_s))
+    # Its request cannot have started after the credit's time.
+    since = credit.usable_until
+    slots.return_credit(state.slots, credit_id, (since, now + max_run_s))
 
 
 def orphan_credits_of_gone(state, now):
@@ -312,7 +314,7 @@
     for credit_id, credit in list(state.slots.credits.items()):
         member = state.view.members.get(credit.borrower[0])
         gone = member is None or member[1] != credit.borrower[1]
-        if gone and now > credit.usable_until + slots.LEASE_MARGIN_S:
+        if gone and now > credit.usable_until + LEASE_MARGIN_S:
             orphan_credit(state, now, credit_id)
 
 
--- a/cornelward/router.py
+++ b/cornelward/router.py
@@ -120,6 +120,7 @@
         gap_s = now - state.last_seen
         if gap_s > PAUSE_TICKS * state.cfg["tick_s"]:
             views.skip_pause(state.view, gap_s)
+            slots.forget_samples(state.slots)
             state.read_at = now
     state.last_seen = now
     views.refresh_authority(state.view, now)
@@ -310,7 +311,7 @@
     max_run_s = service.policy.max_run_s if service else Policy().max_run_s
     if report is not None and not isinstance(report.get("in_flight"), int):
         report = None
-    slots.apply_health(state.slots, known, sent_at, report, now + max_run_s)
+    slots.apply_health(state.slots, known, now, sent_at, report, now + max_run_s)
     return [] if service is None else _run_service(state, now, service)
 
 
@@ -328,7 +329,7 @@
         effects += _heartbeats(state, now)
     catalog.refresh_claims(state)
     for executor in state.slots.owned.values():
-        slots.expire_orphans(state.slots, executor, now)
+        slots.review_orphans(state.slots, executor, now)
     borrowing.orphan_credits_of_gone(state, now)
     borrowing.forget_seen(state, now)
     for service in state.services.values():
--- a/cornelward/routing.py
+++ b/cornelward/routing.py
@@ -271,7 +271,7 @@
     queue.running -= 1
     orphan = None
     if outcome.verdict is Verdict.MAY_HAVE_RUN:
-        orphan = now, now + service.policy.max_run_s
+        orphan = work.started_at, now + service.policy.max_run_s
     _note_signal(state, now, executor, outcome)
     if work.credit is not None:
         _end_credit(state, now, work, orphan)
--- a/cornelward/slots.py
+++ b/cornelward/slots.py
@@ -6,11 +6,12 @@
 
 from typing import NamedTuple
 
+from . import orphans
 from .classes import LONG, SHORT
+from .leases import LEASE_MARGIN_S
 from .messages import Credit
 
 __all__ = [
-    "LEASE_MARGIN_S",
     "Executor",
     "Probe",
     "SlotTable",
@@ -20,19 +21,18 @@
     "claim",
     "due_probes",
     "end_run",
-    "expire_orphans",
+    "forget_samples",
     "free_slots",
     "grant",
     "mark_long",
     "note_signal",
     "remove_executor",
     "return_credit",
+    "review_orphans",
     "start_run",
     "update_index",
 ]
 
-# Added wherever somebody waits for the end of another process's lease.
-LEASE_MARGIN_S = 0.5
 # Interval of /health while an executor cannot be used in full.
 HEALTH_RETRY_S = 0.25
 
@@ -51,6 +51,9 @@
         "address",
         "claim_at",
         "credits",
+        "held",
+        "hold_after",
+        "hold_until",
         "id",
         "levels",
         "listed",
@@ -61,6 +64,7 @@
         "ready",
         "reserved",
         "runs",
+        "sample",
         "service",
         "signal",
         "signal_at",
@@ -81,6 +85,10 @@
         self.probe_at = float("-inf")
         # (since, until) of each orphaned slot, oldest first.
         self.orphans = []
+        # No new work while orphans are being counted; see ``orphans``.
+        self.held = False
+        self.hold_until = self.hold_after = float("-inf")
+        self.sample = None
         self.reserved = 0
         # Request id to start time; credit id to CreditState.
         self.runs = {}
@@ -123,6 +131,7 @@
     usable = (
         executor.owned
         and executor.ready
+        and not executor.held
         and executor.listed == "live"
         and executor.signal == "live"
     )
@@ -200,7 +209,8 @@
     asked at ``claim_at`` or later; ``claim_at`` None means that it is not known yet.
     """
     executor.owned = owned
-    executor.ready = False
+    executor.ready = executor.held = False
+    executor.sample = None
     executor.claim_at = claim_at
     executor.probe_at = float("-inf")
     if owned:
@@ -243,13 +253,20 @@
         update_index(table, executor)
 
 
-def expire_orphans(table, executor, now):
-    """Free orphaned slots whose longest run time has passed."""
-    if executor.orphans and executor.ready:
-        executor.orphans = [item for item in executor.orphans if now < item[1]]
+def review_orphans(table, executor, now):
+    """Free orphaned slots that are proved or sure to be free by now."""
+    if executor.ready and (executor.orphans or executor.held):
+        orphans.expire(executor, now)
+        orphans.review(executor, now)
         update_index(table, executor)
 
 
+def forget_samples(table):
+    """Forget health reports from before a pause of this process."""
+    for executor in table.owned.values():
+        executor.sample = None
+
+
 def grant(table, service, cls, count, borrower, usable_until):
     """Return up to ``count`` credits for free slots."""
     credits = []
@@ -288,37 +305,27 @@
         update_index(table, executor)
 
 
-def apply_health(table, executor, sent_at, report, orphaned_until):
+def apply_health(table, executor, now, sent_at, report, orphaned_until):
     """Take in the answer of ``/health`` (None when there was none).
 
-    Orphans are what the executor runs beyond the uses known to have reached it
-    before the question: a use started within LEASE_MARGIN_S may still be on its way.
-    An answer says nothing of orphans that are younger than the question.
+    All that a moved executor runs counts as orphaned at first.
     """
     signal = "down" if report is None else report.get("state", "down")
     note_signal(table, executor, signal, sent_at)
     if report is None:
         return
-    before = sent_at - LEASE_MARGIN_S
-    unknown = max(0, report["in_flight"] - _known_uses(executor, before))
     if executor.ready:
-        old = sum(1 for since, _ in executor.orphans if since < before)
-        del executor.orphans[: max(0, old - unknown)]
+        orphans.apply_report(executor, now, sent_at, report["in_flight"])
+        orphans.review(executor, now)
     elif executor.claim_at is not None and sent_at >= executor.claim_at:
         executor.ready = executor.owned
-        executor.orphans = [(sent_at, orphaned_until)] * unknown
+        since = sent_at - LEASE_MARGIN_S
+        executor.orphans = [(since, orphaned_until)] * report["in_flight"]
+        if executor.orphans:
+            orphans.begin_hold(executor, now)
     update_index(table, executor)
 
 
-def _known_uses(executor, before):
-    runs = sum(1 for started in executor.runs.values() if started < before)
-    return runs + sum(
-        1
-        for credit in executor.credits.values()
-        if credit.in_use_at is not None and credit.in_use_at < before
-    )
-
-
 def due_probes(table, now, poll_s):
     """Return Probe effects for owned executors whose health is due."""
     probes = []
--- a/cornelward/views.py
+++ b/cornelward/views.py
@@ -9,9 +9,9 @@
 
 import xxhash
 
+from .leases import LEASE_MARGIN_S
 from .messages import HeartbeatAck, ViewAnnounce
 from .platform_client import Conflict
-from .slots import LEASE_MARGIN_S
 from .view_rows import parse_row, row_value
 
 __all__ = [
--- a/tests/test_borrowing.py
+++ b/tests/test_borrowing.py
@@ -2,10 +2,10 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan
+from testtools.matchers import Contains, Equals, GreaterThan, Not
 
 from cornelward import borrowing, router
-from cornelward.messages import Credit, Envelope, Heartbeat, SlotGrant
+from cornelward.messages import Credit, Envelope, Heartbeat, SlotGrant, SlotReturn
 from tests.fixtures_router import World, ready_router, submit
 
 
@@ -38,6 +38,19 @@
     assert_that(used, Equals(expected))
 
 
+@pytest.mark.proof
+def test_late_duplicate_of_a_grant_does_not_return_a_slot_in_use():
+    """The return once freed the slot of a request that was running on the credit."""
+    state = ready_router()
+    state.view.members["e2"] = ("e2:9", 1)
+    for index in range(9):
+        submit(state, 0, str(index))
+    assert_that(dispatches(granted(state, 0.5)), Equals([7]))
+    router.tick(state, 1.2)
+    sent = [e.message for e in granted(state, 1.3) if isinstance(e, router.SendMessage)]
+    assert_that([type(message) for message in sent], Not(Contains(SlotReturn)))
+
+
 def test_entry_without_executors_borrows_all_slots():
     world, borrower, _ = two_entries()
     world.run_s = lambda: 1.0
