--- a/cornelward/router.py
+++ b/cornelward/router.py
@@ -96,8 +96,7 @@
         self.seen_credits = {}
         self.asked = {}
         self.demands = {}
-        # (entry, service) to what its last heartbeat said.
-        self.peer_free = {}
+        self.peer_free = {}  # (entry, service) to its last heartbeat's figure
         self.peer_queued = {}
         self.counts = {}
         self.seq = 0
@@ -308,10 +307,10 @@
     if known is None:
         return []
     service = state.services.get(known.service)
-    max_run_s = service.policy.max_run_s if service else Policy().max_run_s
+    until = now + (service.policy if service else Policy()).max_run_s
     if report is not None and not isinstance(report.get("in_flight"), int):
         report = None
-    slots.apply_health(state.slots, known, now, sent_at, report, now + max_run_s)
+    slots.apply_health(state.slots, known, now, sent_at, report, until)
     return [] if service is None else _run_service(state, now, service)
 
 
