Serve a single queued request of an entry without slots under load

An entry with one queued request asked for one slot, which owners take as a wish for idle slots only; busy owners have none, so the request expired. Seen as a third entry that never served in test_slots_hold_while_entries_pause_die_and_join. It now asks for more than one while it is below its fair share.

--- a/cornelward/borrowing.py
+++ b/cornelward/borrowing.py
@@ -81,9 +81,12 @@
             continue
         state.asked[key] = now + ASK_AGAIN_S
         reported = state.peer_free.get((peer, service.name), 0)
-        # One is only a wish for idle slots; see lend_first.
-        count = reported or 1 + math.ceil(min(wanted, deficit) / len(peers))
-        message = SlotRequest(service.name, cls, min(wanted, count), now)
+        # One is only a wish for idle slots; see lend_first. A single queued request of
+        # an entry below its share asks for more, or it would wait for ever.
+        count = min(wanted, reported)
+        if not count:
+            count = 1 + math.ceil(min(wanted, deficit) / len(peers))
+        message = SlotRequest(service.name, cls, count, now)
         effects.append(SendMessage(state.view.members[peer][0], message))
         wanted -= reported
     return effects
--- a/tests/test_borrowing.py
+++ b/tests/test_borrowing.py
@@ -88,3 +88,14 @@
     stale = Envelope("other", 1, Heartbeat(2, 1, 0.0, 1, {}, {}, []))
     world.call(world.nodes[owner], router.receive, stale)
     assert_that(len(state.slots.credits), GreaterThan(3))
+
+
+def test_single_request_of_an_entry_without_slots_is_served_under_load():
+    """It once asked only for idle slots, of which a busy owner has none."""
+    world, borrower, owner = two_entries()
+    for _ in range(200):
+        world.submit(owner, deadline_s=60)
+    request_id = world.submit(borrower, deadline_s=60)
+    world.run(3)
+    assert_that(world.queued(), GreaterThan(0))
+    assert_that(world.ended, Contains(request_id))
