--- a/cornelward/ownership.py
+++ b/cornelward/ownership.py
@@ -99,6 +99,9 @@
     own.authority_until = 0.0
     own.seen_version = None
     own.next_at = now
+    # A renewal that is still on its way is not the answer to a later takeover.
+    own.busy = False
+    own.txn_id = None
 
 
 def owner_read(own, now, row, new_id):
--- a/cornelward/task_scheduler.py
+++ b/cornelward/task_scheduler.py
@@ -309,8 +309,6 @@
     """Step down when a worker has seen a higher epoch."""
     if status == 409 and body and body.get("epoch", 0) > state.own.epoch:
         step_down(state.own, now)
-        state.own.busy = False
-        state.own.txn_id = None
         return True
     return False
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -16,9 +16,11 @@
     owner_read,
     owner_written,
     poll_owner,
+    step_down,
 )
 from cornelward.platform_client import Conflict, Row
 from cornelward.settings import SCHEDULER
+from cornelward.task_effects import ReadRow
 from tools.task_replay import Identity
 
 OTHER = {"owner": "x", "address": "", "epoch": 4, "renewals": 9, "nonce": "x/1/1"}
@@ -80,6 +82,16 @@
     assert_that(own.role, Equals(STANDBY))
 
 
+def test_late_answer_of_a_renewal_does_not_make_a_standby_the_owner(own, new_id):
+    """Guards against seed 3936: stepping down while a renewal was on its way."""
+    take(own, new_id)
+    (renewal,) = poll_owner(own, 1.0, new_id)
+    step_down(own, 1.1)
+    owner_written(own, 1.2, 1.0, renewal.txn_id, {own.key: 5})
+    assert_that(own.role, Equals(STANDBY))
+    assert_that(poll_owner(own, 1.2, new_id), Equals([ReadRow(own.key)]))
+
+
 def test_worker_leases_are_renewed_in_an_outage_but_not_after_a_pause(own, new_id):
     """Guards against tasks that stop in an outage, and a paused owner's renewals."""
     take(own, new_id)
