--- a/tests/fixtures_tasks.py
+++ b/tests/fixtures_tasks.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from tools.task_replay import ModelWorker, Replay
+from tools.task_model import ModelWorker
+from tools.task_replay import Replay
 
 OBJECTS = [
     {"kind": "workload", "name": "w", "type": "batch", "policy": "p", "team": "t"},
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -21,7 +21,7 @@
 from cornelward.platform_client import Conflict, Row
 from cornelward.settings import SCHEDULER
 from cornelward.task_effects import ReadRow
-from tools.task_replay import Identity
+from tools.task_model import Identity
 
 OTHER = {"owner": "x", "address": "", "epoch": 4, "renewals": 9, "nonce": "x/1/1"}
 
--- a/tests/test_task_guarantees.py
+++ b/tests/test_task_guarantees.py
@@ -13,7 +13,7 @@
 
 from cornelward import task_reports, task_scheduler
 from tests.fixtures_tasks import make_cell, make_job
-from tools.task_replay import Faults
+from tools.task_model import Faults
 
 FAULTY_S = 80
 QUIET_S = 160
--- /dev/null
+++ b/tests/test_worker_leases.py
@@ -0,0 +1,79 @@
+"""Lease arithmetic of workers by single steps."""
+
+import random
+from types import SimpleNamespace
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan
+
+from cornelward.capacity import WorkerTable
+from cornelward.settings import SCHEDULER
+from cornelward.worker_leases import (
+    close_gate,
+    lapse_at,
+    lease_until_ms,
+    renew_due,
+    set_members,
+    take_report,
+)
+from tools.task_model import ModelWorker
+
+OWN = SimpleNamespace(epoch=3, id="s", owner_since=100.0)
+CAPACITY = {"cpu": 4, "memory_mb": 1_000, "accelerators": 0}
+
+
+def make_worker():
+    table = WorkerTable()
+    model = ModelWorker("w", "r", CAPACITY)
+    set_members(table, 100.0, random.Random(1), 2.0, [model.member("fd")])
+    return table, table.by_id["w"]
+
+
+def report(table, worker, now, clock_ms, running=()):
+    body = {
+        "epoch": 3,
+        "clock_ms": clock_ms,
+        "capacity": CAPACITY,
+        "state": "live",
+        "running": list(running),
+        "finished": [],
+    }
+    take_report(table, worker, now, now - 0.1, body, set(), True)
+
+
+def test_first_call_only_reads_and_the_lease_follows_the_workers_clock():
+    """Guards against leases computed from the owner's clock."""
+    table, worker = make_worker()
+    (first,) = renew_due(table, 101.0, OWN, SCHEDULER)
+    assert_that(first.body["lease_until_ms"], Equals(0))
+    worker.in_flight = None
+    report(table, worker, 101.0, 5_000)
+    (second,) = renew_due(table, 101.0, OWN, SCHEDULER)
+    assert_that(second.body["lease_until_ms"], Equals(15_000))
+    assert_that(lapse_at(worker, OWN, SCHEDULER), Equals(101.0 + 10.5))
+
+
+def test_worker_that_never_answered_may_hold_the_former_owners_lease():
+    """Guards against a restart before a lease of the former owner has expired."""
+    _, worker = make_worker()
+    assert_that(lapse_at(worker, OWN, SCHEDULER), GreaterThan(100.0 + 10.5))
+
+
+def test_closed_gate_takes_the_worker_out_of_the_index():
+    """Guards against placement on a worker that has not answered this epoch."""
+    table, worker = make_worker()
+    report(table, worker, 101.0, 5_000)
+    assert_that(list(table.free.places), Equals(["w"]))
+    close_gate(table, worker)
+    assert_that(list(table.free.places), Equals([]))
+    assert_that(lease_until_ms(worker, SCHEDULER), Equals(0))
+
+
+def test_unknown_running_task_is_charged():
+    """Guards against capacity that is given away while an old task still runs."""
+    table, worker = make_worker()
+    running = {"task": "x", "attempt": 1, **CAPACITY, "cpu": 3}
+    report(table, worker, 101.0, 5_000, [running])
+    assert_that(worker.free.cpu, Equals(1.0))
+    report(table, worker, 102.0, 6_000)
+    assert_that(worker.free.cpu, Equals(4.0))
--- a/tools/bench_tasks.py
+++ b/tools/bench_tasks.py
@@ -25,7 +25,8 @@
 from cornelward.placement import best_fit, spread_fit
 from cornelward.writers import format_table
 from tools.task_baselines import replay_first_fit
-from tools.task_replay import ModelWorker, Replay
+from tools.task_model import ModelWorker
+from tools.task_replay import Replay
 from tools.task_traces import TRACES, burst_records
 
 __all__ = ["Figures", "baseline_figures", "core_figures", "decision_cost", "packing"]
