--- a/tests/test_task_guarantees.py
+++ b/tests/test_task_guarantees.py
@@ -205,3 +205,49 @@
 
     monkeypatch.setattr(task_scheduler, "jobs_listed", listed_without_gate)
     assert_that(violations_of(range(20)), Not(HasLength(0)))
+
+
+def watched_cell():
+    """Return a cell of two schedulers, its watch and the owner's name after 5 s."""
+    cell = make_cell(schedulers=("s1", "s2"))
+    watch = Watch(cell)
+    cell.run(5)
+    owner = next(name for name, core in cell.cores.items() if core.own.role == "owner")
+    return cell, watch, owner
+
+
+@pytest.mark.proof
+@pytest.mark.parametrize("step", range(24))
+def test_owner_paused_past_its_lease_at_every_step_of_a_start(step):
+    """Guards against a paused owner that starts what its successor also starts."""
+    cell, watch, owner = watched_cell()
+    for number in range(3):
+        cell.submit(make_job(f"j{number}", tasks=3, cpu=2, run={"run_s": 20.0}))
+    cell.at(5 + step * 0.0015, lambda: cell.pause(owner, cell.now + 9))
+    cell.run(120)
+    assert_that(watch.violations, HasLength(0))
+    assert_that(unfinished(cell, watch, ["j0", "j1", "j2"]), Equals([]))
+
+
+@pytest.mark.proof
+@pytest.mark.parametrize("lost", range(1, 14))
+@pytest.mark.parametrize("applied", [True, False])
+def test_lost_answer_of_every_transaction_is_read_back(lost, applied):
+    """Guards against a start that rests on a write whose result is unknown."""
+    cell, watch, _ = watched_cell()
+    write, count = cell.table.txn, [0]
+
+    def txn(checks, puts, deletes):
+        count[0] += 1
+        if count[0] != lost:
+            return write(checks, puts, deletes)
+        if applied:
+            write(checks, puts, deletes)
+        return None
+
+    cell.submit(make_job("j0", tasks=3, run={"run_s": 3.0}))
+    cell.table.txn = txn
+    cell.run(60)
+    assert_that(watch.violations, HasLength(0))
+    assert_that(unfinished(cell, watch, ["j0"]), Equals([]))
+    assert_that(watch.runs, Equals({f"j0/{number}": 1 for number in range(3)}))
