Let a successor preempt what it adopted

A task that a worker reported before its job was listed, or before the configuration was known, stayed charged as not preemptible, so that urgent work found no victim. The charge now follows the job's policy.

--- a/cornelward/capacity.py
+++ b/cornelward/capacity.py
@@ -21,6 +21,7 @@
     "drop_charges",
     "fits",
     "refresh",
+    "set_preemptible",
     "set_usage",
     "to_vector",
 ]
@@ -146,14 +147,23 @@
 
 
 def add_charge(table, worker, key, declared, preemptible=False):
-    """Charge a task attempt; ``key`` is ``(task name, attempt)``."""
-    old = worker.charges.get(key)
-    if old is None:
+    """Charge a task attempt once; ``key`` is ``(task name, attempt)``."""
+    if key not in worker.charges:
         worker.charges[key] = Charge(declared, preemptible)
         _shift(worker, declared, preemptible, -1)
         refresh(table, worker)
 
 
+def set_preemptible(table, worker, key, preemptible):
+    """Correct a charge that was made before the job's policy was known."""
+    charge = worker.charges.get(key)
+    if charge is not None and charge.preemptible != preemptible:
+        _shift(worker, charge.size, charge.preemptible, 1)
+        charge.preemptible = preemptible
+        _shift(worker, charge.size, preemptible, -1)
+        refresh(table, worker)
+
+
 def set_usage(table, worker, key, used):
     """Take a reported usage: it can only make less capacity available."""
     charge = worker.charges[key]
--- a/cornelward/task_inbox.py
+++ b/cornelward/task_inbox.py
@@ -1,6 +1,6 @@
 """What the owner reads from the table: jobs at takeover, the inbox, other usage."""
 
-from .capacity import add_charge
+from .capacity import add_charge, set_preemptible
 from .job_writes import mark_dirty
 from .jobs import ACTIVE, CANCELLED, apply_policy, job_from_record, settle_job
 from .quotas import (
@@ -74,7 +74,8 @@
             charge_team(state.teams, job.team, job.demand, 1)
             worker = state.workers.by_id.get(task.worker)
             if worker is not None:
-                add_charge(state.workers, worker, task.key, job.demand, job.preemptible)
+                add_charge(state.workers, worker, task.key, job.demand)
+    _mark_charges(state, job)
     if job.waiting:
         enqueue_job(state.teams, job)
     if settle_job(job):
@@ -87,11 +88,24 @@
     apply_policy(job, workload, state.policies.get(workload.get("policy"), {}))
 
 
+def _mark_charges(state, job):
+    """Tell the charges of running tasks whether the job may be preempted.
+
+    A worker may have reported a task before its job was listed, and the configuration
+    may be newer than both.
+    """
+    for task in job.tasks:
+        worker = state.workers.by_id.get(task.worker)
+        if worker is not None:
+            set_preemptible(state.workers, worker, task.key, job.preemptible)
+
+
 def policy_changed(state):
     """Apply newer operators' objects to the jobs in memory."""
     set_quotas(state.teams, state.quotas)
     for job in state.jobs.by_id.values():
         _apply_objects(state, job)
+        _mark_charges(state, job)
         if job.waiting and job.final is None:
             enqueue_job(state.teams, job)
     state.place_wanted = True
--- a/cornelward/task_reports.py
+++ b/cornelward/task_reports.py
@@ -1,6 +1,6 @@
 """What workers say: reports, start answers and lapses, applied to the task table."""
 
-from .capacity import drop_charges, refresh
+from .capacity import drop_charges, refresh, set_preemptible
 from .job_writes import mark_dirty
 from .jobs import ACTIVE, RUNNING, STARTING, task_ended, task_lost
 from .preemption import REPORT_S, signal_task
@@ -42,6 +42,8 @@
     free = worker.free
     healthy = not is_quarantined(state.quarantine, worker.id, now)
     take_report(state.workers, worker, now, sent_at, body, keep, healthy)
+    for task in assigned.values():
+        set_preemptible(state.workers, worker, task.key, task.job.preemptible)
     if effects:
         # Tasks that were told to stop: see soon whether they did.
         worker.renew_at = min(worker.renew_at, now + REPORT_S)
--- a/tests/test_task_scheduler.py
+++ b/tests/test_task_scheduler.py
@@ -148,6 +148,21 @@
     assert_that(done_state(cell, "full"), Equals("succeeded"))
 
 
+def test_successor_preempts_what_it_adopted():
+    """Guards against adopted tasks that count as not preemptible after a takeover."""
+    cell = make_cell(schedulers=("s1", "s2"))
+    starts = record_starts(cell)
+    cell.run(2)
+    cell.submit(make_job("full", tasks=32, run={"run_s": 100.0}))
+    cell.run(10)
+    owner = next(n for n, c in cell.cores.items() if c.own.role == "owner")
+    cell.remove_scheduler(owner)
+    cell.run(20)
+    cell.submit(make_job("now", cpu=4, workload="u"))
+    cell.run(27)
+    assert_that([start[2] for start in starts], Contains("now/0"))
+
+
 def test_gang_is_not_starved_by_a_stream_of_small_jobs(cell):
     """Guards against backfill that delays the first gang for ever."""
     starts = record_starts(cell)
