--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,6 +1,10 @@
 """Guards the timers: order, cancellation, repetition after a failure."""
 
+import threading
+import time
+
 import pytest
+from circuits import BaseComponent, handler
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -41,3 +45,68 @@
 
     loop.call_every(0.01, fail)
     assert_that(loop.run_until(lambda: len(ran) >= 3, LIMIT_S), Equals(True))
+
+
+def test_due_timer_runs_without_another_event(loop):
+    """Guards against a poller that waits although a timer was due."""
+    ran = []
+
+    def step():
+        ran.append(1)
+        if len(ran) == 3:
+            loop.stop()
+        else:
+            loop.call_later(0.01, step)
+
+    loop.call_later(0.01, step)
+    thread = threading.Thread(target=loop.run, daemon=True)
+    thread.start()
+    thread.join(LIMIT_S)
+    assert_that(len(ran), Equals(3))
+
+
+def test_timer_cancelled_while_it_is_due_does_not_run(loop):
+    # The timeout of an answered request once closed the next one's connection.
+    ran, timers = [], []
+    loop.call_later(0.01, lambda: loop.cancel(timers[0]))
+    timers.append(loop.call_later(0.01, lambda: ran.append("cancelled")))
+    loop.call_later(0.02, lambda: ran.append("kept"))
+    loop.run_until(lambda: False, 0.0)
+    time.sleep(0.015)
+    assert loop.run_until(lambda: ran, LIMIT_S)
+    assert_that(ran, Equals(["kept"]))
+
+
+def test_cancelled_timers_do_not_pile_up(loop):
+    # Deadlines of answered requests once stayed in memory until they were due.
+    kept = loop.call_later(3_600, lambda: None)
+    for _ in range(20_000):
+        loop.cancel(loop.call_later(3_600, lambda: None))
+    assert len(loop._timers) < 3_000
+    assert kept in loop._timers
+
+
+class WaitRecorder(BaseComponent):
+    """Records how long the poller is about to wait."""
+
+    channel = "loop"
+
+    def __init__(self):
+        super().__init__(channel="loop")
+        self.waits = []
+
+    # The poller's own handler has priority -9.
+    @handler("generate_events", priority=-8)
+    def _on_generate_events(self, event):
+        self.waits.append(event.time_left)
+
+
+def test_due_timer_does_not_wait_for_the_next_timer_or_input(loop):
+    recorder = WaitRecorder().register(loop)
+    assert loop.run_until(lambda: recorder.waits, LIMIT_S)
+    while len(loop):
+        loop.flush()
+    recorder.waits.clear()
+    loop.call_later(0, lambda: None)
+    loop.tick(0.05)
+    assert_that(recorder.waits, Equals([0]))
