--- a/cornelward/routing.py
+++ b/cornelward/routing.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from . import classes, errors, slots, views
-from .borrowing import IDLE_CREDIT_S, lend_first
+from .borrowing import IDLE_CREDIT_S, lend_first, may_reuse
 from .classes import LONG, SHORT
 from .queues import (
     FORWARDED,
@@ -15,8 +15,10 @@
     cancel_queued,
     discard_expired,
     expected_wait,
+    note_start,
     pop_work,
     push_work,
+    run_margin,
     waited_share,
 )
 from .verdicts import Verdict, is_retry_safe
@@ -113,7 +115,7 @@
         return [_refuse(state, work, errors.DEADLINE_EXCEEDED, "deadline has passed")]
     wait = 0.0
     if not _has_slot(state, now, service, work.cls):
-        wait = expected_wait(queue)
+        wait = expected_wait(queue, now)
     if not service.live or wait > service.policy.spill_wait_s:
         target = _spill_target(service, work, now)
         if target is not None:
@@ -121,10 +123,10 @@
     if not service.live:
         message = f"no live executor of {service.name}"
         return [_refuse(state, work, errors.NO_UPSTREAM, message, SPILL_PAUSE_S)]
-    run_s = queue.mean_run_s or 0.0
-    if wait + run_s > remaining:
+    late_s = wait + run_margin(queue) - remaining
+    if wait and late_s > 0:
         message = f"expected wait {wait:.3f} s exceeds the deadline"
-        after = wait + run_s - remaining
+        after = late_s
         return [_refuse(state, work, errors.OVERLOADED, message, after)]
     if queue.count >= service.policy.queue_limit:
         return [_refuse(state, work, errors.OVERLOADED, "queue is full", wait)]
@@ -146,7 +148,7 @@
     effects = []
     for cls in (SHORT, LONG):
         for work in discard_expired(service.queues[cls], now):
-            message = "deadline passed in the queue"
+            message = "deadline cannot be met any more"
             effects.append(_refuse(state, work, errors.DEADLINE_EXCEEDED, message))
     while True:
         for cls in _class_order(service, now):
@@ -213,6 +215,7 @@
     work.started_at = now
     work.attempts += 1
     work.credit = lease
+    note_start(work.service.queues[work.cls], now)
     work.service.queues[work.cls].running += 1
     work.service.started.append((now, work, work.attempts))
     if lease is None:
@@ -291,7 +294,7 @@
     if orphan is not None:
         # Neither returned nor reported: the owner counts the slot as an orphan.
         return
-    if now < lease.usable_until:
+    if may_reuse(state, now, work.service, lease):
         idle_until = min(lease.usable_until, now + IDLE_CREDIT_S)
         lease = lease._replace(idle_until=idle_until)
         work.service.credits[work.cls].appendleft(lease)
