--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import urllib.request
 from pathlib import Path
 
 import pytest
@@ -137,6 +138,18 @@
         demo.communicate(timeout=LIMIT_S)
 
 
+def test_runbook_lists_every_metric(kept_demo):
+    served = set()
+    for port in (kept_demo + 1, kept_demo + 11):
+        url = f"http://127.0.0.1:{port}/metrics"
+        with urllib.request.urlopen(url, timeout=LIMIT_S) as answer:
+            text = answer.read().decode()
+        served |= set(re.findall(r"^# HELP (cornelward_\w+)", text, re.M))
+    served = {name for name in served if not name.endswith("_created")}
+    listed = {row[0].strip("`") for row in rows(section(page("runbook"), 6))}
+    assert_that(listed, Equals(served))
+
+
 @pytest.mark.parametrize("name", PAGES)
 def test_commands_run_as_written(kept_demo, name, tmp_path):
     blocks = re.findall(r"^```sh\n(.*?)^```", page(name), re.M | re.S)
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -10,7 +10,13 @@
 
 from cornelward.errors import ObjectsError
 from cornelward.object_schema import KINDS, fields_of
-from cornelward.objects import check_objects, index_objects, require_valid
+from cornelward.objects import (
+    check_objects,
+    index_objects,
+    require_valid,
+    with_defaults,
+)
+from cornelward.queues import parse_policy
 from cornelward.readers import read_objects
 
 EXAMPLES = ("examples/laurentides", "examples/shahidi")
@@ -177,6 +183,11 @@
     assert_that(GOOD, Equals(before))
 
 
+def test_defaults_are_those_of_the_request_core():
+    policy = with_defaults({"kind": "policy", "name": "p", "type": "request"})
+    assert_that(parse_policy(policy), Equals(parse_policy({})))
+
+
 def test_require_valid_lists_every_problem():
     objects = changed("pool/quotes", holds="tents", regions=["gone"])
     with pytest.raises(ObjectsError) as caught:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,6 +8,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, StartsWith
 
+from cornelward import entry, scheduler
 from cornelward.errors import SettingsError
 from cornelward.settings import (
     COMMON,
@@ -136,6 +137,17 @@
         assert_that(caught.value.message, StartsWith(f"{path}: "))
 
 
+@pytest.mark.parametrize("main", [entry.main, scheduler.main])
+def test_program_with_a_bad_file_prints_one_line_and_ends_with_2(main, tmp_path, capfd):
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps({**GOOD, "tick_s": 5}))
+    assert_that(main([str(path)]), Equals(2))
+    out, err = capfd.readouterr()
+    assert_that((out, err.count("\n")), Equals(("", 1)))
+    text = f"{path}: key 'tick_s': expected a value from 0.05 to 1"
+    assert_that(err, Contains(text))
+
+
 @settings(derandomize=True, deadline=None)
 @given(
     st.sampled_from(sorted({*ENTRY, *SCHEDULER, *COMMON})),
