--- a/cornelward/borrowing.py
+++ b/cornelward/borrowing.py
@@ -132,7 +132,9 @@
     uses more than its share lends although it has a queue itself. Queue lengths are no
     measure for this: those of the last heartbeats made all owners lend to one entry.
     """
-    if not state.demands or _running(service) < fair_share(state, service):
+    # The free slot counts as this entry's own: with two slots and a share of 1.3, an
+    # entry with one running request would otherwise never lend the other slot.
+    if not state.demands or _running(service) + 1 <= fair_share(state, service):
         return []
     keys = [
         key
