--- a/tests/test_task_scheduler.py
+++ b/tests/test_task_scheduler.py
@@ -1,5 +1,6 @@
 """The task core as a whole, in virtual time."""
 
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import (
@@ -9,7 +10,6 @@
     GreaterThan,
     HasLength,
     LessThan,
-    MatchesAll,
 )
 
 from cornelward import task_scheduler as core
@@ -198,7 +198,6 @@
         cell.submit(make_job(f"a{number}", tasks=4, cpu=2))
     cell.run(60)
     on_bad = [start for start in starts if start[1] == "w0"]
-    assert_that(on_bad, MatchesAll(HasLength(len(on_bad))))
     assert_that(len(on_bad), LessThan(12))
     states = [done_state(cell, f"a{number}") for number in range(12)]
     assert_that(states, AllMatch(Equals("succeeded")))
@@ -261,8 +260,6 @@
 
 def test_dump_is_json_ready(cell):
     """Guards against a state dump that cannot be encoded."""
-    import msgspec
-
     cell.run(2)
     cell.submit(make_job("a"))
     cell.run(4)
