--- a/cornelward/waves.py
+++ b/cornelward/waves.py
@@ -19,7 +19,7 @@
 MAX_TASKS = 256
 # Free capacity from which the order of the wave does not count, over its demand.
 AMPLE = 1.5
-# Weight of filling a worker against leaving it balanced; best in a trial of 0.1 to 1.
+# Weight of filling a worker against leaving it balanced; other values were not tried.
 SIZE_WEIGHT = 0.3
 
 
