--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,6 +1,7 @@
 """Guards against load that leaves loopback or its bounds, and counts that are off."""
 
 import json
+import signal
 
 import pytest
 from testtools.assertions import assert_that
@@ -14,6 +15,16 @@
 RUN = ("--rate", "200", "--duration", "0.5", "--seed", "7", "--json")
 
 
+@pytest.fixture(autouse=True)
+def signal_handlers():
+    """Restore the handlers that the loop of a run installs in this process."""
+    numbers = (signal.SIGINT, signal.SIGTERM)
+    before = [signal.getsignal(number) for number in numbers]
+    yield
+    for number, handler in zip(numbers, before, strict=True):
+        signal.signal(number, handler)
+
+
 def test_arrivals_repeat_with_the_seed():
     times = list(arrival_times(500, 10, 3))
     assert_that(times, Equals(list(arrival_times(500, 10, 3))))
