--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -130,10 +130,11 @@
 def test_check_fails_without_the_wait_of_a_new_owner(monkeypatch):
     """Guards against a property test that could not notice an overload."""
     monkeypatch.setattr(views, "claim_time", lambda view: view.adopted_at)
-    found = [
-        seed for seed in range(6) if run_schedule(seed, random_faults(seed)).violations
-    ]
-    assert_that(len(found), GreaterThan(0))
+    # About one seed in 50 shows the overload.
+    found = any(
+        run_schedule(seed, random_faults(seed)).violations for seed in range(300)
+    )
+    assert_that(found, Is(True))
 
 
 def test_leaving_entry_finishes_its_work_and_gives_up_its_executors():
