Check the holder of a forwarded key; keep the metric names of a standby

Cause: (1) any caller could mark a request as forwarded and so run a key twice; (2) the owner's lease age was missing on a standby, so the runbook's test gave different verdicts. Change: (1) the sender proves with the row's nonce that it holds the key, and the receiver reads the row before it runs the request; Pending and the headers move to pending.py; (2) the metric is listed without a value on a standby. Ruled out: not forwarding keyed requests (a domain without executors would refuse them). Conclusion: a forwarded keyed request costs one more table read.

--- a/cornelward/forwarding.py
+++ b/cornelward/forwarding.py
@@ -5,8 +5,9 @@
 view's members count; an attempt that cannot connect gives ``NOT_RUN``.
 """
 
+from . import keyed
 from .errors import DEADLINE_EXCEEDED, NO_UPSTREAM, UPSTREAM_FAILED, PlatformError
-from .request_flow import FORWARDED
+from .pending import FORWARDED, FORWARDED_NONCE
 from .upstream_client import Answer, read_answer
 from .verdicts import Verdict
 
@@ -103,6 +104,13 @@
     return Answer(verdict, code, text, False)
 
 
+def _proof(entry, pending):
+    """Return the header that shows the receiver who holds the request's key."""
+    if pending.key is None:
+        return ()
+    return ((FORWARDED_NONCE, keyed.nonce_of(entry.keyed, pending.key)),)
+
+
 def forward(entry, failure_domain, pending, on_done):
     """Send a request to one entry of a failure domain; gives an Answer."""
 
@@ -124,6 +132,7 @@
                 ("X-Request-Id", attempt_id),
                 ("X-Timeout-Ms", str(max(1, int(left_s * 1000)))),
                 (FORWARDED, entry.identity.failure_domain),
+                *_proof(entry, pending),
                 *pending.headers,
             ),
             body=pending.call.request.body,
--- a/cornelward/keyed.py
+++ b/cornelward/keyed.py
@@ -22,6 +22,8 @@
     "dump",
     "finished",
     "is_first",
+    "is_held",
+    "nonce_of",
     "row_read",
     "tick",
     "written",
@@ -187,6 +189,17 @@
     return req is not None and req.request_id == request_id
 
 
+def is_held(row, nonce):
+    """Return whether a row shows a running request of the holder with this nonce."""
+    value = row.value if row.version else None
+    return bool(value) and (value["state"], value["nonce"]) == (ACCEPTED, nonce)
+
+
+def nonce_of(table, key):
+    """Return the nonce of a key in use at this entry."""
+    return table.by_key[key].nonce
+
+
 def tick(table, now):
     """Retry the writes that failed."""
     effects = []
--- a/cornelward/request_flow.py
+++ b/cornelward/request_flow.py
@@ -1,15 +1,16 @@
 """Requests in one entry: from the caller through the router to an upstream and back."""
 
 import base64
-import re
 
 import xxhash
 
 from . import keyed
 from .errors import (
     BAD_REQUEST,
+    CONFLICT,
     DEADLINE_EXCEEDED,
     NO_UPSTREAM,
+    PLATFORM_UNAVAILABLE,
     SHUTTING_DOWN,
     STATUS_OF_CODE,
     UPSTREAM_FAILED,
@@ -17,81 +18,18 @@
     RequestError,
 )
 from .http_server import JSON, error_body
+from .pending import (
+    FORWARDED,
+    FORWARDED_NONCE,
+    PASSED_HEADERS,
+    Pending,
+    read_key,
+    read_timeout,
+)
 from .upstream_client import Answer
 from .verdicts import Verdict
 
-__all__ = [
-    "ATTEMPT_MARK",
-    "FORWARDED",
-    "accept",
-    "carry_out",
-    "keyed_tick",
-    "read_timeout",
-]
-
-# Marks a request that another failure domain's entry sent; it is not sent on, and the
-# sender holds its key.
-FORWARDED = "x-forwarded-domain"
-KEY = re.compile(r"[A-Za-z0-9_.:~-]{1,200}")
-# Separates a request's id from the number of an attempt after the first.
-ATTEMPT_MARK = "~"
-# Headers of the caller that an upstream gets.
-PASSED_HEADERS = ("content-type", "accept", "idempotency-key", "traceparent")
-
-
-class Pending:
-    """One accepted request; ``verdict`` covers all of its attempts so far."""
-
-    __slots__ = (
-        "arrived",
-        "attempts",
-        "call",
-        "deadline",
-        "dispatched",
-        "headers",
-        "key",
-        "may_have_run",
-        "operation",
-        "outer_id",
-        "service",
-        "spec",
-        "submitted",
-    )
-
-    def __init__(self, call, service, operation, spec, arrived, deadline):
-        self.call = call
-        self.service = service
-        self.operation = operation
-        self.spec = spec
-        self.arrived = arrived
-        self.deadline = deadline
-        self.outer_id = ""
-        self.attempts = 0
-        self.headers = ()
-        self.key = None
-        self.submitted = False
-        self.dispatched = False
-        self.may_have_run = False
-
-    def next_attempt_id(self):
-        """Return the id that an upstream gets with the next attempt.
-
-        Attempts differ, so that a late answer to one is not taken for another's.
-        """
-        self.attempts += 1
-        if self.attempts == 1:
-            return self.outer_id
-        return f"{self.outer_id}{ATTEMPT_MARK}{self.attempts}"
-
-
-def read_timeout(headers, default_ms, max_ms):
-    """Return the timeout in seconds that a caller asks for."""
-    text = headers.get("x-timeout-ms")
-    if text is None:
-        return min(default_ms, max_ms) / 1000
-    if not (text.isascii() and text.isdigit() and 1 <= int(text[:12]) <= max_ms):
-        raise RequestError(BAD_REQUEST, f"X-Timeout-Ms: expected 1 to {max_ms}")
-    return int(text) / 1000
+__all__ = ["accept", "carry_out", "keyed_tick"]
 
 
 def accept(entry, call, service, operation, spec):
@@ -109,21 +47,25 @@
     pending.headers = tuple(
         (name, headers[name]) for name in PASSED_HEADERS if name in headers
     )
-    keyed_request = spec.must_not_repeat and FORWARDED not in headers
-    if keyed_request and not headers.get("idempotency-key"):
+    if spec.must_not_repeat and not headers.get("idempotency-key"):
         text = f"{operation} must not be repeated and needs an Idempotency-Key"
         raise RequestError(BAD_REQUEST, text)
     entry.calls[request_id] = pending
     call.on_closed = lambda: _caller_gone(entry, request_id)
-    begin = _begin_keyed if keyed_request else _submit
     try:
-        begin(entry, now, request_id, pending)
+        _begin_of(spec, headers)(entry, now, request_id, pending)
     except Exception:
         # The server answers; a request left here would hold up the shutdown.
         entry.calls.pop(request_id, None)
         raise
 
 
+def _begin_of(spec, headers):
+    if not spec.must_not_repeat:
+        return _submit
+    return _begin_forwarded if FORWARDED in headers else _begin_keyed
+
+
 def _submit(entry, now, request_id, pending):
     forwarded = FORWARDED in pending.call.request.headers
     req = entry.router.Request(
@@ -289,13 +231,33 @@
     carry_out(entry, entry.router.cancel(entry.state, now, request_id))
 
 
+def _begin_forwarded(entry, now, request_id, pending):
+    """Run a keyed request for another entry if the key's row shows it as the holder.
+
+    Without this a caller could mark its request as forwarded and run a key twice.
+    """
+    nonce = pending.call.request.headers.get(FORWARDED_NONCE)
+
+    def read(row):
+        if request_id not in entry.calls:
+            return
+        now = entry.loop.now()
+        if isinstance(row, PlatformError):
+            text = "the key could not be read; the request was not run"
+            _refuse(entry, now, request_id, pending, PLATFORM_UNAVAILABLE, text)
+        elif not keyed.is_held(row, nonce):
+            text = "the sender does not hold the key"
+            _refuse(entry, now, request_id, pending, CONFLICT, text)
+        else:
+            _submit(entry, now, request_id, pending)
+
+    key = read_key(pending.service, pending.call.request.headers)
+    entry.platform.get(key, read)
+
+
 def _begin_keyed(entry, now, request_id, pending):
     request = pending.call.request
-    name = request.headers["idempotency-key"]
-    if not KEY.fullmatch(name):
-        text = "Idempotency-Key: expected up to 200 letters, digits and _.:~-"
-        raise RequestError(BAD_REQUEST, text)
-    pending.key = f"requests/{pending.service}/{name}"
+    pending.key = read_key(pending.service, request.headers)
     digest = xxhash.xxh3_128_hexdigest(pending.operation.encode() + b"/" + request.body)
     nonce = entry.new_nonce()
     _carry_out_keyed(
--- a/cornelward/scheduler_metrics.py
+++ b/cornelward/scheduler_metrics.py
@@ -64,10 +64,14 @@
         is_owner = own.role == OWNER
         yield _gauge("owner", "1 while this scheduler owns the workers.", is_owner)
         yield _gauge("owner_epoch", "Epoch of the ownership.", own.epoch)
+        # Listed without a value on a standby, so that the name is always there.
+        age = GaugeMetricFamily(
+            "cornelward_owner_lease_age_seconds",
+            "Time since the last successful renewal was sent.",
+        )
         if is_owner:
-            age_s = self._clock() - (own.authority_until - own.lease_s)
-            text = "Time since the last successful renewal was sent."
-            yield _gauge("owner_lease_age_seconds", text, age_s)
+            age.add_metric([], self._clock() - (own.authority_until - own.lease_s))
+        yield age
         yield from _collect_work(self._state)
 
 
--- a/tests/fixtures_simulation.py
+++ b/tests/fixtures_simulation.py
@@ -20,8 +20,8 @@
 from cornelward.http_server import Call
 from cornelward.messages import Envelope
 from cornelward.metrics import new_metrics
+from cornelward.pending import ATTEMPT_MARK
 from cornelward.platform_client import connect_platform
-from cornelward.request_flow import ATTEMPT_MARK
 from cornelward.upstream_client import connect_upstream
 from standins import executor, platform
 from standins.table import apply_txn
@@ -270,9 +270,13 @@
             if entry.identity.peer_address == address:
                 entry.loop.call_soon(lambda entry=entry: entry.on_message(envelope))
 
-    def ask(self, entry, request_id, operation, key=None, timeout_ms=2_000):
+    def ask(self, entry, request_id, operation, key=None, timeout_ms=2_000, headers=()):
         """Send a caller's request; its answers are appended to ``answers[id]``."""
-        headers = {"x-request-id": request_id, "x-timeout-ms": str(timeout_ms)}
+        headers = {
+            "x-request-id": request_id,
+            "x-timeout-ms": str(timeout_ms),
+            **dict(headers),
+        }
         if key is not None:
             headers["idempotency-key"] = key
         path = f"/v1/services/quotes/{operation}"
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -46,6 +46,22 @@
     assert_that(found, Equals([["http-e0"]]))
 
 
+@pytest.mark.proof
+def test_forged_mark_does_not_bypass_the_key():
+    """Guarantee 5: a caller that marks its request as forwarded runs nothing twice."""
+    sim, _ = two_domains(1)
+    entry = next(e for e in sim.entries if e.identity.id == "e0")
+    sim.ask(entry, "first", "book", "k")
+    sim.clock.advance(4.0)
+    forged = {"x-forwarded-domain": "l2", "x-forwarded-nonce": "0" * 24}
+    sim.ask(entry, "again", "book", "k", headers=forged)
+    sim.ask(entry, "other", "book", "unused", headers={"x-forwarded-domain": "l2"})
+    sim.clock.advance(4.0)
+    assert_that(sim.records(), Equals({"first": 1}))
+    verdicts = [sim.answers[name][0][2] for name in ("first", "again", "other")]
+    assert_that(verdicts, Equals(["RAN", "NOT_RUN", "NOT_RUN"]))
+
+
 @pytest.mark.proof
 def test_verdicts_of_forwarded_requests_agree_with_the_record():
     """Guarantees 3, 4 and 5 over a link that loses requests and answers."""
--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,18 @@
+"""Runs all policy benchmarks and prints their tables: ``python -m tools.bench``.
+
+``python -m tools.bench_http`` measures throughput; it takes longer and its figures
+depend on the machine.
+"""
+
+from . import bench_requests, bench_tasks
+
+__all__ = ["main"]
+
+
+def main():
+    """Print the tables of requests and tasks; returns the exit code."""
+    return bench_requests.main() or bench_tasks.main()
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
