--- a/cornelward/compose.py
+++ b/cornelward/compose.py
@@ -16,6 +16,7 @@
 from .errors import START_FAILED, CornelwardError
 from .http_client import HttpClient
 from .http_server import HttpServer, Limits
+from .identity import Identity
 from .loop import Loop
 from .metrics import new_metrics
 from .peers import Peers
@@ -106,7 +107,7 @@
 
 def _identity(common):
     cfg = common.cfg
-    return router.Identity(
+    return Identity(
         cfg["id"],
         common.incarnation,
         cfg["failure_domain"],
--- a/cornelward/router.py
+++ b/cornelward/router.py
@@ -5,10 +5,9 @@
 ``(retried, effects)``.
 """
 
-from typing import NamedTuple
-
 from . import borrowing, catalog, errors, routing, slots, views
 from .classes import ClassTable, class_of
+from .identity import Identity
 from .messages import (
     Heartbeat,
     HeartbeatAck,
@@ -63,17 +62,6 @@
 INCARNATION_MASK = (1 << 30) - 1
 
 
-class Identity(NamedTuple):
-    """Who this entry is; addresses are "ip:port"."""
-
-    id: str
-    incarnation: int
-    failure_domain: str
-    region: str
-    peer_address: str
-    http_address: str
-
-
 class Router:
     """State of the request core."""
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -7,6 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
+from cornelward.identity import Identity
 from cornelward.ownership import (
     OWNER,
     STANDBY,
@@ -21,7 +22,6 @@
 from cornelward.platform_client import Conflict, Row
 from cornelward.settings import SCHEDULER
 from cornelward.task_effects import ReadRow
-from tools.task_model import Identity
 
 OTHER = {"owner": "x", "address": "", "epoch": 4, "renewals": 9, "nonce": "x/1/1"}
 
--- a/tools/task_model.py
+++ b/tools/task_model.py
@@ -4,22 +4,10 @@
 """
 
 import itertools
-from typing import NamedTuple
 
 from cornelward.platform_client import Conflict, Row
 
-__all__ = ["Faults", "Identity", "ModelTable", "ModelWorker"]
-
-
-class Identity(NamedTuple):
-    """Identity of a scheduler process."""
-
-    id: str
-    incarnation: int
-    failure_domain: str
-    region: str
-    peer_address: str
-    http_address: str
+__all__ = ["Faults", "ModelTable", "ModelWorker"]
 
 
 class Faults:
--- a/tools/task_replay.py
+++ b/tools/task_replay.py
@@ -11,8 +11,9 @@
 import random
 
 from cornelward import task_scheduler as core
+from cornelward.identity import Identity
 from cornelward.settings import SCHEDULER
-from tools.task_model import Faults, Identity, ModelTable
+from tools.task_model import Faults, ModelTable
 
 TICK_S = 0.25
 
