Add the entry's metrics of waits, queues, slots, refusals and retries

Cause: an operator could not see why work waits: an entry only had counts of requests, their durations and calls to the platform. Change: entry_metrics.py; what the router counts is read only when the metrics are asked for. Ruled out: labels by executor or caller, whose values grow without bound. Conclusion: an entry shows its wait before start, queue lengths, slots in use, retries, refusals, view epoch, authority and loop lag.

--- a/cornelward/compose.py
+++ b/cornelward/compose.py
@@ -13,6 +13,7 @@
 from . import router, task_scheduler
 from . import scheduler as scheduler_shell
 from .api import make_handle
+from .entry_metrics import add_entry_collector
 from .errors import START_FAILED, CornelwardError
 from .http_client import HttpClient
 from .http_server import HttpServer, Limits
@@ -127,6 +128,11 @@
     entry = entry_shell.Entry(common, core, identity, rng, upstream)
     entry.handle = make_handle(entry)
     holder.append(entry)
+    if core is router:
+        add_entry_collector(
+            common.metrics.registry,
+            lambda: router.dump(entry.state, common.loop.now()),
+        )
     entry_shell.start(entry)
     return entry
 
--- a/cornelward/entry.py
+++ b/cornelward/entry.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from . import config_follow, forwarding, keyed, request_flow
+from .entry_metrics import new_entry_instruments
 from .errors import PlatformError
 from .log import get_logger
 from .messages import ConfigAnnounce, ConfigRequest, Heartbeat
@@ -39,6 +40,7 @@
         self.common = common
         self.loop = common.loop
         self.metrics = common.metrics
+        self.instruments = new_entry_instruments(common.metrics.registry)
         self.platform = common.platform
         self.client = common.client
         self.upstream = upstream
@@ -158,7 +160,13 @@
         limit_s = entry.cfg["tick_s"]
         wakeup = entry.router.next_wakeup(entry.state)
         delay_s = limit_s if wakeup is None else min(limit_s, max(0.01, wakeup - now))
-        entry.loop.call_later(delay_s, lambda: tick(entry))
+        due = now + delay_s
+        entry.loop.call_later(delay_s, lambda: _late_tick(entry, due))
+
+
+def _late_tick(entry, due):
+    entry.instruments.observe_lag(max(0.0, entry.loop.now() - due))
+    tick(entry)
 
 
 def poll_members(entry):
--- a/cornelward/metrics.py
+++ b/cornelward/metrics.py
@@ -4,12 +4,20 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, exposition
 
-__all__ = ["CONTENT_TYPE", "Metrics", "new_metrics", "render"]
+__all__ = [
+    "CONTENT_TYPE",
+    "DURATION_BUCKETS_S",
+    "LAG_BUCKETS_S",
+    "Metrics",
+    "new_metrics",
+    "render",
+]
 
 CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
 
 # From the 1 ms of a quote to the minutes of a reconciliation.
 DURATION_BUCKETS_S = (0.001, 0.005, 0.02, 0.1, 0.5, 2, 10, 60, 300)
+LAG_BUCKETS_S = (0.001, 0.005, 0.02, 0.1, 0.5, 2, 10)
 
 
 class Metrics(NamedTuple):
--- a/cornelward/request_flow.py
+++ b/cornelward/request_flow.py
@@ -97,6 +97,8 @@
         _complete(entry, now, effect.request_id, outcome)
         return
     pending.dispatched = True
+    if not pending.attempts:
+        entry.instruments.observe_wait(pending.service, now - pending.arrived)
 
     def done(answer):
         _attempt_done(entry, effect.request_id, answer, now)
@@ -142,6 +144,8 @@
         pending.dispatched = False
         pending.may_have_run |= answer.verdict is not Verdict.NOT_RUN
     retried, effects = _complete(entry, now, request_id, outcome)
+    if retried:
+        entry.instruments.count_retry()
     if not retried and pending is not None:
         _settle(entry, now, request_id, pending, answer)
     carry_out(entry, effects)
--- a/cornelward/scheduler_metrics.py
+++ b/cornelward/scheduler_metrics.py
@@ -11,12 +11,11 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.registry import Collector
 
+from .metrics import LAG_BUCKETS_S
 from .ownership import OWNER
 
 __all__ = ["Instruments", "add_collector", "new_instruments"]
 
-LAG_BUCKETS_S = (0.001, 0.005, 0.02, 0.1, 0.5, 2, 10)
-
 
 class Instruments(NamedTuple):
     """``observe_lag(seconds)`` and ``observe_worker(operation, outcome)``."""
