--- /dev/null
+++ b/cornelward/dispatch.py
@@ -0,0 +1,408 @@
+"""Core of the leader: tables of jobs and workers, and the systems that run over them.
+
+``event(state, now, ...)`` changes the state and appends effects to ``state.effects``;
+the shell carries them out. ``step`` is called after each batch of events: it places
+what can be placed, and sends commits and looks that are due.
+"""
+
+import random
+
+from . import advising, commits, planning
+from . import staged_jobs as jobs
+from . import workers as table
+from .dispatch_effects import Look, Start, Tell
+from .dispatch_runs import request_stop, stop_retries
+from .log import get_logger
+from .staged_jobs import (
+    CANCELLED,
+    COMPLETED,
+    DONE,
+    FAILED,
+    PLACED,
+    QUEUED,
+    RUNNING,
+)
+
+__all__ = [
+    "Dispatcher",
+    "advice_answered",
+    "cancel",
+    "commit_answered",
+    "job_seen",
+    "pending_by_queue",
+    "set_queues",
+    "state_of",
+    "step",
+    "workers_seen",
+]
+
+log = get_logger("dispatch")
+
+# How long a worker may hold back the answer to a look, in seconds.
+LOOK_WAIT_S = 1.0
+# Pause between looks that failed, and between those whose ends wait for the store.
+LOOK_RETRY_S = 0.3
+LOOK_PACE_S = 0.8
+# The first steps of the queue keep fresh tickets while they wait for room.
+STEPS_WITH_TICKETS = 8
+
+
+class Dispatcher:
+    """State of a leader; ``unknown_lease_s`` is how long a former one's may hold."""
+
+    def __init__(self, token, fences, cfg, now):
+        self.token = token
+        self.cfg = cfg
+        self.started_at = now
+        self.unknown_lease_s = cfg["unknown_lease_s"]
+        self.writers = {
+            part: commits.Writer(part, version) for part, version in fences.items()
+        }
+        self.jobs = {}
+        # Final state of the jobs that are over: id -> state.
+        self.finished = {}
+        self.workers = {}
+        self.queues = {}
+        self.advising = advising.Advising()
+        self.effects = []
+        self.needs_plan = True
+        self.fenced_off = False
+        # Cancels of jobs that are not known yet: id -> replies.
+        self.rng = random.Random(token)
+
+
+def writer_of(state, job):
+    """Return the Writer of the job's partition."""
+    return state.writers[commits.part_of(job.spec.id)]
+
+
+def mark(state, job, effect=None):
+    """Record the job's state; ``effect`` is carried out after that."""
+    if effect is not None:
+        job.after_commit.append(effect)
+    commits.mark(writer_of(state, job), job)
+
+
+def job_seen(state, now, spec, version, accepted_at):
+    """Take in an accepted job; a known one is left alone."""
+    if spec.id in state.jobs or spec.id in state.finished:
+        return
+    job = jobs.new_job(spec, version, accepted_at)
+    state.jobs[spec.id] = job
+    state.needs_plan = True
+
+
+def restore_job(state, spec, version, record, record_version, accepted_at, now):
+    """Take in a job with the record of a former leader."""
+    job = jobs.new_job(spec, version, accepted_at)
+    state.jobs[spec.id] = job
+    for task, worker_id in jobs.restore_record(job, record, record_version):
+        worker = state.workers.get(worker_id)
+        if worker is None:
+            # Not registered any more; its lease may still hold.
+            info = _lost_worker(worker_id, spec.queue.service)
+            worker = table.new_worker(info, now, state.unknown_lease_s)
+            worker.listed = False
+            state.workers[worker_id] = worker
+        name = jobs.task_name(job, task)
+        run = table.Run(job, task, name, task.attempt, worker_id, table.ADOPTED)
+        run.saved = task.saved
+        task.run = run if task.state == PLACED else None
+        table.add_run(worker, run)
+    if job.outcome is not None:
+        mark(state, job)
+
+
+def _lost_worker(worker_id, service):
+    return table.WorkerInfo(
+        worker_id, service, "", "", "", (), 0, 0, 0, True, 0.0, 0, 0.0
+    )
+
+
+def set_queues(state, queues):
+    """Use a newer configuration: name -> Queue."""
+    state.queues = queues
+    state.needs_plan = True
+
+
+def workers_seen(state, now, infos, complete):
+    """Take in registry entries; ``complete`` lists are all there are."""
+    for info in infos:
+        worker = state.workers.get(info.id)
+        if worker is None:
+            state.workers[info.id] = table.new_worker(info, now, state.unknown_lease_s)
+            log("info", "worker_seen", worker=info.id, address=info.address)
+            continue
+        if worker.info.draining != info.draining:
+            log("info", "worker_draining", worker=info.id, draining=info.draining)
+        if not worker.info.address:
+            table.note_clock(worker, now, info.clock_s)
+        worker.info, worker.listed = info, True
+    if complete:
+        present = {info.id for info in infos}
+        for worker_id in set(state.workers) - present:
+            worker_gone(state, worker_id)
+    state.needs_plan = True
+
+
+def worker_gone(state, worker_id):
+    """Take in that a worker is not registered any more."""
+    worker = state.workers.get(worker_id)
+    if worker is not None and worker.listed:
+        worker.listed = False
+        log("info", "worker_unlisted", worker=worker_id, runs=len(worker.runs))
+
+
+def state_of(state, job_id):
+    """Return the job's recorded state, or None if it is not known here."""
+    job = state.jobs.get(job_id)
+    return job.shown if job is not None else state.finished.get(job_id)
+
+
+def pending_by_queue(state):
+    """Return {queue: accepted jobs of which no task has started}."""
+    counts = {}
+    for job in state.jobs.values():
+        if not job.started and job.outcome is None and not job.spec.occurrences:
+            name = job.spec.queue.name
+            counts[name] = counts.get(name, 0) + 1
+    return counts
+
+
+def cancel(state, now, job_id, reply):
+    """Cancel a job; ``reply(True)`` once that is recorded, None if it is unknown.
+
+    ``reply(False)`` if it is over.
+    """
+    job = state.jobs.get(job_id)
+    if job is None or job.outcome in (COMPLETED, FAILED):
+        over = job is not None or job_id in state.finished
+        state.effects.append(Tell(reply, False if over else None))
+        return
+    mark(state, job, Tell(reply, True))
+    if job.outcome is None:
+        end_job(state, now, job, CANCELLED)
+
+
+def end_job(state, now, job, outcome):
+    """Decide the job's outcome and stop what still runs of it."""
+    log("info", "job_ended", job=job.spec.id, outcome=outcome)
+    job.outcome = outcome
+    mark(state, job)
+    for tasks in job.tasks.values():
+        for task in tasks:
+            if task.run is not None:
+                request_stop(state, now, task.run)
+    state.needs_plan = True
+
+
+def commit_answered(state, now, part, result):
+    """Take in the answer to a Commit."""
+    writer = state.writers[part]
+    batch = commits.finish(writer, now, result)
+    if batch is None:
+        return
+    if batch is False:
+        log("warning", "fenced_off", part=part, token=state.token)
+        state.fenced_off = True
+        return
+    for job in batch.jobs:
+        job.shown = job.outcome or (RUNNING if job.started else QUEUED)
+    for job in batch.finals:
+        state.finished[job.spec.id] = job.outcome
+        state.jobs.pop(job.spec.id, None)
+        writer.dirty.pop(job.spec.id, None)
+    for effect in batch.effects:
+        _carry_out(state, now, effect)
+
+
+def _carry_out(state, now, effect):
+    kind = effect[0] if type(effect) is tuple else None
+    if kind == "start":
+        _send_start(state, now, *effect[1:])
+    elif kind == "end":
+        _end_recorded(state, *effect[1:])
+    else:
+        state.effects.append(effect)
+
+
+def _send_start(state, now, run, ticket):
+    worker = state.workers.get(run.worker)
+    if run.state == table.STOPPING or worker is None or run.job.outcome is not None:
+        # Never sent, so nothing is left of it.
+        from .dispatch_runs import void
+
+        void(state, now, run, "withdrawn")
+        return
+    run.state = table.SENT
+    run.sent_at = now
+    deadline = table.extend_lease(worker, now, state.cfg["lease_s"])
+    state.effects.append(Start(run, worker.info.address, deadline, ticket))
+
+
+def _end_recorded(state, worker_id, born, number):
+    worker = state.workers.get(worker_id)
+    if worker is None or worker.info.born != born:
+        return
+    worker.open_ends.pop(number, None)
+    open_below = min(worker.open_ends, default=None)
+    worker.durable_end = worker.seen_end if open_below is None else open_below - 1
+
+
+def advice_answered(state, now, call_id, approved):
+    """Take in an answer of the policy service; None if there was none."""
+    advising.settle(state.advising, now, call_id, approved)
+    state.needs_plan = True
+
+
+def step(state, now, wall_now):
+    """Run the systems that are due; returns when to call again, in seconds."""
+    _open_occurrences(state, wall_now)
+    advising.drop_late(state.advising, now)
+    _drop_lost_workers(state, now)
+    if state.needs_plan:
+        state.needs_plan = False
+        _plan(state, now)
+    stop_retries(state, now)
+    for writer in state.writers.values():
+        commit = commits.flush(writer, now)
+        if commit is not None:
+            state.effects.append(commit)
+    _look_due(state, now)
+
+
+def _open_occurrences(state, wall_now):
+    for job in state.jobs.values():
+        if not job.spec.occurrences or job.outcome is not None:
+            continue
+        for number in range(jobs.occurrences_due(job, wall_now)):
+            if (number, 0) not in job.tasks:
+                jobs.open_occurrence(job, number)
+                state.needs_plan = True
+
+
+def _drop_lost_workers(state, now):
+    from .dispatch_runs import void
+
+    for worker in list(state.workers.values()):
+        silent = worker.look_failed or not worker.info.address
+        if worker.runs and silent and now >= worker.lease_ends_at:
+            log(
+                "warning", "lease_ran_out", worker=worker.info.id, runs=len(worker.runs)
+            )
+            for run in list(worker.runs.values()):
+                void(state, now, run, "lapsed")
+        if not worker.listed and not worker.runs and not worker.looking:
+            del state.workers[worker.info.id]
+
+
+def _look_due(state, now):
+    for worker in state.workers.values():
+        if worker.looking or not worker.info.address:
+            continue
+        never = worker.answered_at is None and worker.listed
+        acks = worker.durable_end > worker.sent_end
+        if not (worker.runs or worker.strangers or never or acks):
+            continue
+        pause = 0.0
+        if worker.look_failed:
+            pause = LOOK_RETRY_S
+        elif worker.open_ends and not acks:
+            pause = LOOK_PACE_S
+        if now - worker.last_look_at < pause:
+            continue
+        _send_look(state, now, worker)
+
+
+def _send_look(state, now, worker):
+    worker.looking = True
+    worker.last_look_at = now
+    worker.sent_end = worker.durable_end
+    deadline = None
+    # The clock of a worker that has not answered yet is only what the registry said.
+    if worker.answered_at is not None and worker.runs:
+        deadline = table.extend_lease(worker, now, state.cfg["lease_s"])
+    waits = worker.runs and not worker.open_ends and worker.answered_at is not None
+    wait_s = LOOK_WAIT_S if waits and not worker.look_failed else 0.0
+    info = worker.info
+    state.effects.append(
+        Look(info.id, info.address, deadline, worker.durable_end, wait_s)
+    )
+
+
+def _plan(state, now):
+    usable = [w for w in state.workers.values() if table.is_usable(w, now)]
+    room = planning.Room(usable)
+    open_jobs = [j for j in state.jobs.values() if j.outcome is None]
+    open_jobs.sort(key=lambda job: planning.order_key(job, now))
+    rank = 0
+    for job in open_jobs:
+        for key in job.tasks:
+            tasks = planning.waiting_tasks(job, key)
+            if tasks and jobs.is_step_ready(job, key):
+                _plan_step(state, now, room, job, key, tasks, rank)
+                rank += 1
+
+
+def _plan_step(state, now, room, job, key, tasks, rank):
+    queue = state.queues.get(job.spec.queue.name, job.spec.queue)
+    allowed = None
+    if queue.advice is not None:
+        allowed = advising.valid_tickets(job, key, now)
+    candidate = planning.Candidate(job, key, tasks, allowed)
+    gang = job.spec.steps[key[1]].gang
+    fit = planning.fit_gang if gang else planning.fit_tasks
+    placed = fit(room, candidate, queue.service) or []
+    for placement in placed:
+        _place(state, now, job, placement)
+    if placed:
+        job.started = True
+        mark(state, job)
+    if queue.advice is not None and len(placed) < len(tasks):
+        _ask(state, now, room, candidate, queue, rank)
+
+
+def _place(state, now, job, placement):
+    task, worker = placement.task, placement.worker
+    step_tasks = job.tasks[task.key[:2]]
+    gang = job.spec.steps[task.key[1]].gang
+    if gang:
+        # All members of one start carry the same number.
+        attempt = max(t.attempt for t in step_tasks if t.state != PLACED) + 1
+        placed = [t.attempt for t in step_tasks if t.state == PLACED]
+        attempt = max([attempt, *placed]) if placed else attempt
+    else:
+        attempt = task.attempt + 1
+    task.attempt, task.state = attempt, PLACED
+    name = jobs.task_name(job, task)
+    run = table.Run(job, task, name, attempt, worker.info.id, table.RECORDING)
+    run.saved = task.saved
+    task.run = run
+    table.add_run(worker, run)
+    mark(state, job, ("start", run, placement.ticket))
+
+
+def _ask(state, now, room, candidate, queue, rank):
+    """Ask about workers that are not known yet, or whose tickets have run out."""
+    job, key = candidate.job, candidate.key
+    tickets = advising.tickets_of(job, key)
+    if tickets.call is not None:
+        return
+    service = [w for w in state.workers.values() if w.info.service == queue.service]
+    unknown = [
+        w.info.id
+        for w in service
+        if w.listed and not w.info.draining and w.info.id not in tickets.asked
+    ]
+    expired = [
+        i for i in tickets.approved if i in room.workers and i not in candidate.allowed
+    ]
+    wanted = unknown + expired
+    if not wanted or (not unknown and rank >= STEPS_WITH_TICKETS):
+        return
+    effect = advising.ask(state.advising, now, job, key, wanted)
+    if effect is not None:
+        state.effects.append(effect)
+
+
+__all__ += ["COMPLETED", "DONE"]
--- /dev/null
+++ b/cornelward/leadership.py
@@ -0,0 +1,210 @@
+"""Core: which node leads.
+
+The leader renews one row of the store. Time only decides when another node claims the
+row; that only one leader can act is ensured by fences and tokens (``commits``).
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+__all__ = [
+    "ClaimLeadership",
+    "LeaderRow",
+    "Leadership",
+    "ReadLeader",
+    "RenewLeadership",
+    "beat_heard",
+    "claim_answered",
+    "renewal_answered",
+    "resign",
+    "resigned_heard",
+    "row_read",
+    "tick",
+]
+
+RENEW_S = 0.5
+# Beats come twice a second; two may be lost.
+BEAT_LOST_S = 1.3
+# A leader that has not reached the store for this long may be replaced.
+STORE_AGE_S = 1.5
+POLL_S = 0.4
+# A row that nobody renewed for this long may be claimed.
+LEASE_S = 1.8
+# Candidates wait a random part of this, so that seldom two claim at once.
+JITTER_S = 0.3
+
+FOLLOWER, CLAIMING, LEADER = "follower", "claiming", "leader"
+
+
+class LeaderRow(NamedTuple):
+    """The leader's row; ``node`` is empty after it resigned."""
+
+    node: str
+    incarnation: int
+    address: str
+    token: int
+    renewals: int = 0
+
+
+class ReadLeader(NamedTuple):
+    """Read the leader's row; the answer goes to ``row_read``."""
+
+
+class ClaimLeadership(NamedTuple):
+    """Write ``row`` over version ``expected``; goes to ``claim_answered``."""
+
+    row: LeaderRow
+    expected: int
+
+
+class RenewLeadership(NamedTuple):
+    """Write ``row`` over version ``expected``; goes to ``renewal_answered``."""
+
+    row: LeaderRow
+    expected: int
+
+
+class Leadership:
+    """State of one node's part in leadership."""
+
+    def __init__(self, node, incarnation, address, now, rng):
+        self.node = node
+        self.incarnation = incarnation
+        self.address = address
+        self.role = FOLLOWER
+        self.jitter_s = rng.random() * JITTER_S
+        self.heard_at = now - BEAT_LOST_S
+        self.store_age_s = 0.0
+        self.leader_address = None
+        self.row = None
+        self.version = None
+        self.changed_at = None
+        self.busy = False
+        self.asked_at = None
+        self.renewed_at = None
+        self.leaving = False
+
+
+def encode_row(row):
+    """Return the row's value."""
+    return msgspec.msgpack.encode(row)
+
+
+_decoder = msgspec.msgpack.Decoder(LeaderRow)
+
+
+def decode_row(data):
+    """Return the LeaderRow in a value, or None if it is not one."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
+
+
+def beat_heard(state, now, address, store_age_s, token):
+    """Take in a leader's beat; one of an older leader is ignored."""
+    if state.row is not None and token < state.row.token:
+        return False
+    state.heard_at = now
+    state.store_age_s = store_age_s
+    state.leader_address = address
+    return True
+
+
+def resigned_heard(state, now):
+    """Look at the row at once: the leader has given it up."""
+    state.heard_at = now - BEAT_LOST_S
+    state.asked_at = None
+    state.leader_address = None
+
+
+def tick(state, now):
+    """Return the effects that are due."""
+    if state.busy:
+        return []
+    if state.role == LEADER:
+        if state.asked_at is None or now - state.asked_at >= RENEW_S:
+            state.busy = True
+            state.asked_at = now
+            row = state.row._replace(renewals=state.row.renewals + 1)
+            return [RenewLeadership(row, state.version)]
+        return []
+    silent = now - state.heard_at >= BEAT_LOST_S or state.store_age_s >= STORE_AGE_S
+    due = state.asked_at is None or now - state.asked_at >= POLL_S
+    if state.leaving or state.role != FOLLOWER or not silent or not due:
+        return []
+    state.busy = True
+    state.asked_at = now
+    return [ReadLeader()]
+
+
+def row_read(state, now, found):
+    """Take in (value, version) of the row, (None, 0) if absent, None on failure."""
+    state.busy = False
+    if found is None or state.role != FOLLOWER:
+        return []
+    value, version = found
+    row = decode_row(value) if value is not None else None
+    if version != state.version:
+        state.row, state.version, state.changed_at = row, version, now
+        if row is not None and row.node:
+            state.leader_address = row.address
+    if state.leaving or not _may_claim(state, now, row):
+        return []
+    token = row.token + 1 if row is not None else 1
+    state.role = CLAIMING
+    state.busy = True
+    claim = LeaderRow(state.node, state.incarnation, state.address, token)
+    return [ClaimLeadership(claim, version)]
+
+
+def _may_claim(state, now, row):
+    if row is None or not row.node:
+        return True
+    if row.node == state.node:
+        # Left by an earlier life of this node, or a claim whose answer was lost.
+        return True
+    return now - state.changed_at >= LEASE_S + state.jitter_s
+
+
+def claim_answered(state, now, claim, version):
+    """Take in the version of a claim that applied, or None; returns whether it did."""
+    state.busy = False
+    if version is None:
+        state.role = FOLLOWER
+        return False
+    state.role = LEADER
+    state.row, state.version, state.changed_at = claim, version, now
+    state.renewed_at = state.asked_at = now
+    state.leader_address = state.address
+    return True
+
+
+def renewal_answered(state, now, renewal, outcome, version):
+    """Take in ``ok``, ``lost`` or ``failed``; returns whether this node still leads."""
+    state.busy = False
+    if state.role != LEADER:
+        return False
+    if outcome == "ok":
+        state.row, state.version, state.renewed_at = renewal.row, version, now
+    elif outcome == "lost":
+        step_down(state, now)
+        return False
+    return True
+
+
+def step_down(state, now):
+    """Follow again, after a successor was seen."""
+    state.role = FOLLOWER
+    state.version = None
+    state.row = None
+    state.leader_address = None
+    state.heard_at = now - BEAT_LOST_S
+    state.asked_at = None
+
+
+def resign(state):
+    """Return the row that gives leadership up."""
+    row = state.row._replace(node="", address="", renewals=state.row.renewals + 1)
+    return RenewLeadership(row, state.version)
--- a/cornelward/messages.py
+++ b/cornelward/messages.py
@@ -9,17 +9,27 @@
 
 __all__ = [
     "MESSAGE_TYPES",
+    "AdviceReply",
+    "AdviceRequest",
+    "CancelReply",
+    "CancelRequest",
     "ConfigAnnounce",
     "ConfigRequest",
     "Credit",
     "Envelope",
     "Heartbeat",
     "HeartbeatAck",
+    "JobAccepted",
     "JobNotice",
+    "LeaderBeat",
+    "LeaderHello",
+    "LeaderResigned",
     "Leaving",
     "SlotGrant",
     "SlotRequest",
     "SlotReturn",
+    "StateReply",
+    "StateRequest",
     "ViewAnnounce",
     "decode",
     "encode",
@@ -119,6 +129,85 @@
     job_id: str
 
 
+class LeaderBeat(NamedTuple):
+    """The leader is alive; ``pending`` counts jobs that have not begun, by queue.
+
+    ``store_age_s`` is how long ago the leader last reached the store.
+    """
+
+    address: str
+    token: int
+    store_age_s: float
+    pending: dict[str, int]
+
+
+class LeaderHello(NamedTuple):
+    """A node tells the leader where it is; also the answer to a beat."""
+
+    address: str
+
+
+class LeaderResigned(NamedTuple):
+    """The leader has given up its row."""
+
+    token: int
+
+
+class JobAccepted(NamedTuple):
+    """A job was stored: its row's value and version."""
+
+    version: int
+    spec: bytes
+
+
+class StateRequest(NamedTuple):
+    """Asks for the state of a job; ``address`` is where the reply goes."""
+
+    number: int
+    address: str
+    job_id: str
+
+
+class StateReply(NamedTuple):
+    """The recorded state of a job, or None if the leader does not know it."""
+
+    number: int
+    state: str | None
+
+
+class CancelRequest(NamedTuple):
+    """Asks to cancel a job."""
+
+    number: int
+    address: str
+    job_id: str
+
+
+class CancelReply(NamedTuple):
+    """True once the cancel is recorded, False if the job is over, None if unknown."""
+
+    number: int
+    cancelled: bool | None
+
+
+class AdviceRequest(NamedTuple):
+    """Asks a node to ask the policy service on which workers a step may run."""
+
+    address: str
+    token: int
+    call_id: int
+    step_name: str
+    workers: list[str]
+
+
+class AdviceReply(NamedTuple):
+    """Approved workers with their tickets, or None if there was no answer."""
+
+    token: int
+    call_id: int
+    approved: list[tuple[str, str]] | None
+
+
 class Envelope(NamedTuple):
     """A decoded message with its sender."""
 
@@ -130,15 +219,25 @@
 MESSAGE_TYPES = {
     cls.__name__: cls
     for cls in (
+        AdviceReply,
+        AdviceRequest,
+        CancelReply,
+        CancelRequest,
         ConfigAnnounce,
         ConfigRequest,
         Heartbeat,
         HeartbeatAck,
+        JobAccepted,
         JobNotice,
+        LeaderBeat,
+        LeaderHello,
+        LeaderResigned,
         Leaving,
         SlotGrant,
         SlotRequest,
         SlotReturn,
+        StateReply,
+        StateRequest,
         ViewAnnounce,
     )
 }
--- /dev/null
+++ b/cornelward/node.py
@@ -0,0 +1,330 @@
+"""Shell of a node: entry for callers, client of the policy service, maybe leader.
+
+``cornelward-node`` takes the path of its settings from the environment.
+"""
+
+import time
+
+from . import leadership, node_jobs, node_leader
+from .commits import Applied, Refused, Rows, Unknown
+from .dispatch_effects import RowWrite
+from .log import get_logger
+from .messages import (
+    AdviceReply,
+    AdviceRequest,
+    CancelReply,
+    CancelRequest,
+    JobAccepted,
+    LeaderBeat,
+    LeaderHello,
+    LeaderResigned,
+    StateReply,
+    StateRequest,
+)
+
+__all__ = ["Node", "start"]
+
+log = get_logger("node")
+
+TICK_S = 0.1
+# The store holds a feed's answer back this long; a silent connection is noticed after.
+CONFIG_WAIT_S = 1.4
+CONFIG_RETRY_S = 0.2
+# Time for which callers may still come after SIGTERM: the balancer needs two misses.
+STOP_ACCEPTING_S = 2.6
+# Left of the platform's grace time at the end.
+EXIT_MARGIN_S = 0.7
+LEADER_KEY = ("leader", "main")
+
+
+def clock():
+    """Return seconds of a steady clock that counts on while the instance sleeps."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Node:
+    """State of one process; ``leader`` is the leader's part while this node leads."""
+
+    def __init__(self, parts, settings, incarnation, rng):
+        self.parts = parts
+        self.settings = settings
+        self.loop = parts.loop
+        self.store = parts.store
+        self.peers = parts.peers
+        self.incarnation = incarnation
+        self.rng = rng
+        self.address = settings.peer_address
+        self.leadership = leadership.Leadership(
+            settings.node, incarnation, self.address, clock(), rng
+        )
+        self.config = None
+        self.leader = None
+        self.intake = node_jobs.Intake()
+        self.stopping_at = None
+        self.stopped = False
+
+
+def start(node):
+    """Start following the configuration and leadership."""
+    read_config(node)
+    node.loop.call_every(TICK_S, lambda: tick(node))
+    node.loop.on_signal(lambda signo: begin_stop(node))
+    settings = node.settings
+    log("info", "started", node=settings.node, callers=settings.caller_address)
+
+
+def is_ready(node):
+    """Return whether callers should be sent here."""
+    return node.config is not None and node.stopping_at is None
+
+
+# Configuration
+
+
+def read_config(node):
+    """Read the whole configuration, then follow its changes."""
+
+    def done(listing):
+        if isinstance(listing, Refused | Unknown):
+            node.loop.call_later(CONFIG_RETRY_S, lambda: read_config(node))
+            return
+        _take_config(node, listing.rows)
+        follow_config(node, listing.version)
+
+    node.store.read("op", "", done)
+
+
+def follow_config(node, version):
+    """Wait for the next change after ``version``."""
+
+    def done(changes):
+        if isinstance(changes, Refused | Unknown):
+            node.loop.call_later(CONFIG_RETRY_S, lambda: read_config(node))
+        elif hasattr(changes, "rows"):
+            _take_config(node, changes.rows)
+            follow_config(node, changes.version)
+        else:
+            log("warning", "config_history_lost", after=version)
+            read_config(node)
+
+    node.store.follow("op", version, CONFIG_WAIT_S, done)
+
+
+def _take_config(node, rows):
+    for row in rows:
+        if row.key != "config" or row.value is None:
+            continue
+        cfg = node.parts.decode_config(row.value)
+        if cfg is None:
+            log("error", "config_unreadable", row_version=row.version)
+        elif node.config is None or cfg.version > node.config.version:
+            log("info", "config_in_force", version=cfg.version)
+            node.config = cfg
+            if node.leader is not None:
+                node_leader.set_config(node)
+
+
+# Leadership
+
+
+def tick(node):
+    """Run what is due in leadership; called ten times a second."""
+    for effect in leadership.tick(node.leadership, clock()):
+        carry_out(node, effect)
+    if node.leader is not None:
+        node_leader.tick(node)
+    node_jobs.tick(node)
+    _stop_when_drained(node)
+
+
+def carry_out(node, effect):
+    """Carry out an effect of the leadership core."""
+    kind = type(effect).__name__
+    if kind == "ReadLeader":
+        _read_leader(node)
+    elif kind == "ClaimLeadership":
+        _claim(node, effect)
+    else:
+        _renew(node, effect)
+
+
+def _read_leader(node):
+    def done(listing):
+        found = None
+        if not isinstance(listing, Refused | Unknown):
+            rows = {row.key: (row.value, row.version) for row in listing.rows}
+            found = rows.get("main", (None, 0))
+        before = node.leadership.leader_address
+        for effect in leadership.row_read(node.leadership, clock(), found):
+            carry_out(node, effect)
+        address = node.leadership.leader_address
+        if address and address not in (before, node.address):
+            node.peers.send(address, LeaderHello(node.address))
+
+    node.store.read("leader", "", done)
+
+
+def _write_leader(node, effect, done):
+    expected = [(*LEADER_KEY, effect.expected)]
+    value = leadership.encode_row(effect.row)
+    node.store.commit("", expected, [RowWrite(*LEADER_KEY, value)], done)
+
+
+def _claim(node, effect):
+    def done(result):
+        version = result.version if isinstance(result, Applied) else None
+        if leadership.claim_answered(node.leadership, clock(), effect.row, version):
+            log("info", "leadership_claimed", token=effect.row.token)
+            node_leader.take_over(node, effect.row.token)
+
+    _write_leader(node, effect, done)
+
+
+def _renew(node, effect):
+    def done(result):
+        outcome, version = "failed", None
+        if isinstance(result, Applied):
+            outcome, version = "ok", result.version
+        elif isinstance(result, Rows):
+            value, found = result.rows.get(LEADER_KEY, (None, 0))
+            # An earlier renewal whose answer was lost may have applied.
+            row = leadership.decode_row(value) if value is not None else None
+            mine = row is not None and (row.node, row.incarnation) == (
+                node.settings.node,
+                node.incarnation,
+            )
+            outcome = "ok" if mine else "lost"
+            version = found
+            if mine:
+                effect_row = effect._replace(row=row)
+                leadership.renewal_answered(
+                    node.leadership, clock(), effect_row, "ok", version
+                )
+                return
+        still = leadership.renewal_answered(
+            node.leadership, clock(), effect, outcome, version
+        )
+        if not still:
+            lose_leadership(node, "the row has another holder")
+
+    _write_leader(node, effect, done)
+
+
+def lose_leadership(node, reason):
+    """Stop acting as the leader."""
+    if node.leader is not None:
+        log("warning", "leadership_lost", reason=reason)
+        node_leader.close(node)
+        node.leader = None
+    if node.leadership.role != leadership.FOLLOWER:
+        leadership.step_down(node.leadership, clock())
+
+
+# Messages
+
+
+def on_message(node, envelope):
+    """Take a message of another node."""
+    handler = HANDLERS.get(type(envelope.message))
+    if handler is not None:
+        handler(node, envelope, envelope.message)
+
+
+def _on_beat(node, envelope, beat):
+    state = node.leadership
+    if not leadership.beat_heard(
+        state, clock(), beat.address, beat.store_age_s, beat.token
+    ):
+        return
+    node_jobs.note_pending(node, beat.pending)
+    node.peers.send(beat.address, LeaderHello(node.address))
+
+
+def _on_hello(node, envelope, hello):
+    if node.leader is not None:
+        node_leader.node_heard(node, envelope.sender, hello.address)
+
+
+def _on_resigned(node, envelope, message):
+    leadership.resigned_heard(node.leadership, clock())
+    tick(node)
+
+
+def _on_accepted(node, envelope, message):
+    if node.leader is not None:
+        node_leader.job_accepted(node, message.spec, message.version)
+
+
+def _on_state_request(node, envelope, message):
+    state = node_leader.state_of(node, message.job_id) if node.leader else None
+    node.peers.send(message.address, StateReply(message.number, state))
+
+
+def _on_cancel_request(node, envelope, message):
+    def reply(value):
+        node.peers.send(message.address, CancelReply(message.number, value))
+
+    if node.leader is None:
+        reply(None)
+    else:
+        node_leader.cancel(node, message.job_id, reply)
+
+
+def _on_advice_request(node, envelope, message):
+    def done(approved):
+        reply = AdviceReply(message.token, message.call_id, approved)
+        node.peers.send(message.address, reply)
+
+    node.parts.ask_advice(message.step_name, message.workers, done)
+
+
+def _on_advice_reply(node, envelope, message):
+    if node.leader is not None and message.token == node.leader.token:
+        node_leader.advice_answered(node, message.call_id, message.approved)
+
+
+def _on_reply(node, envelope, message):
+    node_jobs.reply_arrived(node, message.number, message[1])
+
+
+HANDLERS = {
+    LeaderBeat: _on_beat,
+    LeaderHello: _on_hello,
+    LeaderResigned: _on_resigned,
+    JobAccepted: _on_accepted,
+    StateRequest: _on_state_request,
+    StateReply: _on_reply,
+    CancelRequest: _on_cancel_request,
+    CancelReply: _on_reply,
+    AdviceRequest: _on_advice_request,
+    AdviceReply: _on_advice_reply,
+}
+
+
+# Stopping
+
+
+def begin_stop(node):
+    """Start a graceful shutdown; a second signal changes nothing."""
+    if node.stopping_at is not None:
+        return
+    node.stopping_at = clock()
+    log("info", "stopping")
+    node.leadership.leaving = True
+    node.parts.callers.start_draining()
+    if node.leader is not None:
+        node_leader.resign(node)
+
+
+def _stop_when_drained(node):
+    if node.stopping_at is None or node.stopped:
+        return
+    passed = clock() - node.stopping_at
+    late = passed >= node.settings.grace_s - EXIT_MARGIN_S
+    drained = passed >= STOP_ACCEPTING_S and node.parts.callers.is_drained()
+    if passed >= STOP_ACCEPTING_S:
+        node.parts.callers.stop_accepting()
+    if late or (drained and not node_jobs.is_busy(node)):
+        node.stopped = True
+        log("info", "stopped", late=late)
+        node.loop.stop()
--- /dev/null
+++ b/cornelward/node_jobs.py
@@ -0,0 +1,334 @@
+"""Callers' requests about jobs: submit, show, cancel, count.
+
+A job is accepted once its row is stored. Questions go to the leader, which has every
+job in memory; without a leader the store is read.
+"""
+
+from . import commits
+from .commits import Applied, Refused, Rows, Unknown
+from .dispatch_effects import RowWrite
+from .errors import (
+    BAD_REQUEST,
+    NOT_FOUND,
+    PLATFORM_UNAVAILABLE,
+    RequestError,
+)
+from .log import get_logger
+from .messages import CancelRequest, JobAccepted, StateRequest
+from .staged_jobs import (
+    CANCELLED,
+    COMPLETED,
+    FAILED,
+    QUEUED,
+    RUNNING,
+    decode_record,
+    decode_spec,
+    encode_spec,
+)
+from .verdicts import Verdict
+
+__all__ = ["Intake", "handle", "is_busy", "note_pending", "reply_arrived", "tick"]
+
+log = get_logger("jobs")
+
+FINAL = (COMPLETED, FAILED, CANCELLED)
+# A caller that names no deadline waits this long.
+DEFAULT_DEADLINE_S = 3.0
+# An answer must still travel to the caller.
+ANSWER_MARGIN_S = 0.15
+INSERT_RETRY_S = 0.1
+# A refusal of the store is passed on after this: the caller reaches another node sooner.
+REFUSE_AFTER_S = 0.35
+LEADER_ANSWER_S = 0.35
+CANCEL_ANSWER_S = 1.2
+# Counts of waiting jobs are given out while they are younger than this.
+PENDING_AGE_S = 1.8
+RETRY_AFTER_S = 1
+
+
+class Intake:
+    """Questions under way and what the leader told last."""
+
+    def __init__(self):
+        self.number = 0
+        # Number of a question -> (function to call with the reply, time limit).
+        self.questions = {}
+        self.pending = {}
+        self.pending_at = None
+        self.final = {}
+
+
+def now_of(node):
+    """Return the node's clock."""
+    return node.parts.now()
+
+
+def handle(node, call):
+    """Serve one request of a caller."""
+    if node.config is None:
+        refuse(call, 503, PLATFORM_UNAVAILABLE, "no configuration yet")
+        return
+    req = call.request
+    target = node.parts.find_target(node.config, req.headers.get("host", ""), req.path)
+    if target is None:
+        refuse(call, 404, NOT_FOUND, "no such queue", retry=False)
+    elif not target.job_id:
+        _show_pending(node, call, target)
+    elif req.method == "POST":
+        _submit(node, call, target)
+    elif req.method == "GET":
+        _show(node, call, target.job_id)
+    elif req.method == "DELETE":
+        _cancel(node, call, target.job_id)
+    else:
+        refuse(call, 405, BAD_REQUEST, "method not allowed", retry=False)
+
+
+def refuse(call, status, code, message, retry=True, verdict=Verdict.NOT_RUN):
+    """Answer with an error; the Retry-After header tells when to come back."""
+    exc = RequestError(code, message, verdict)
+    if retry:
+        exc.retry_after_ms = RETRY_AFTER_S * 1000
+    call.refuse(exc, status)
+
+
+def _deadline_s(call):
+    text = call.request.headers.get("deadline-ms", "")
+    return int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_S
+
+
+# Submit
+
+
+def _submit(node, call, target):
+    spec, problem = node.parts.decode_job(target, call.request.body)
+    if spec is None:
+        refuse(call, 400, BAD_REQUEST, problem, retry=False)
+        return
+    now = now_of(node)
+    spec = spec._replace(accepted_at=node.store.clock(now) or 0.0)
+    until = now + _deadline_s(call) - ANSWER_MARGIN_S
+    _insert(node, call, spec, encode_spec(spec), now, until, False)
+
+
+def _insert(node, call, spec, value, begun, until, uncertain):
+    """Store the job; ``uncertain`` once an earlier try may have applied."""
+    part = commits.part_of(spec.id)
+    expected = [("jobs", spec.id, 0), ("done", spec.id, 0)]
+
+    def again(maybe):
+        node.loop.call_later(
+            INSERT_RETRY_S,
+            lambda: _insert(node, call, spec, value, begun, until, maybe),
+        )
+
+    def done(result):
+        now = now_of(node)
+        if isinstance(result, Applied | Rows):
+            _accepted(node, call, spec, value, result)
+        elif now >= until and (uncertain or isinstance(result, Unknown)):
+            # It may or may not be stored; the caller asks again with the same id.
+            log("warning", "submit_unknown", job=spec.id, reason=result.reason)
+            text = "the store does not answer"
+            refuse(call, 504, PLATFORM_UNAVAILABLE, text, verdict=Verdict.MAY_HAVE_RUN)
+        elif isinstance(result, Unknown) or uncertain:
+            again(True)
+        elif now - begun >= REFUSE_AFTER_S:
+            log("warning", "submit_refused", job=spec.id, reason=result.reason)
+            refuse(call, 503, PLATFORM_UNAVAILABLE, "the store is not available")
+        else:
+            again(False)
+
+    node.store.commit(part, expected, [RowWrite("jobs", spec.id, value)], done)
+
+
+def _accepted(node, call, spec, value, result):
+    call.answer_json(200, {"state": QUEUED})
+    if isinstance(result, Rows):
+        log("info", "submit_repeated", job=spec.id)
+        return
+    log("info", "accepted", job=spec.id, queue=spec.queue.name)
+    if node.leader is not None:
+        node.parts.leader_accepts(node, value, result.version)
+    elif node.leadership.leader_address:
+        message = JobAccepted(result.version, value)
+        node.peers.send(node.leadership.leader_address, message)
+
+
+# Show and cancel
+
+
+def _ask_leader(node, make, limit_s, on_reply):
+    """Ask the leader; ``on_reply(None)`` if it does not know or answer."""
+    intake = node.intake
+    address = node.leadership.leader_address
+    if not address:
+        on_reply(None)
+        return
+    intake.number += 1
+    number = intake.number
+    intake.questions[number] = (on_reply, now_of(node) + limit_s)
+    if not node.peers.send(address, make(number)):
+        reply_arrived(node, number, None)
+
+
+def reply_arrived(node, number, value):
+    """Take in a reply of the leader."""
+    question = node.intake.questions.pop(number, None)
+    if question is not None:
+        question[0](value)
+
+
+def tick(node):
+    """Give up questions that the leader did not answer."""
+    now = now_of(node)
+    for number, (_, limit) in list(node.intake.questions.items()):
+        if now >= limit:
+            reply_arrived(node, number, None)
+
+
+def is_busy(node):
+    """Return whether a question is under way."""
+    return bool(node.intake.questions)
+
+
+def _show(node, call, job_id):
+    state = node.intake.final.get(job_id)
+    if state is not None:
+        call.answer_json(200, {"state": state})
+        return
+
+    def replied(state):
+        if state is None:
+            _read_state(
+                node, job_id, lambda found: _answer_state(node, call, job_id, found)
+            )
+        else:
+            _answer_state(node, call, job_id, state)
+
+    if node.leader is not None:
+        replied(node.parts.leader_state(node, job_id))
+    else:
+        _ask_leader(
+            node,
+            lambda number: StateRequest(number, node.address, job_id),
+            LEADER_ANSWER_S,
+            replied,
+        )
+
+
+def _answer_state(node, call, job_id, state):
+    if state is None:
+        text = "the store is not available"
+        refuse(call, 503, PLATFORM_UNAVAILABLE, text)
+    elif state == "":
+        refuse(call, 410, NOT_FOUND, "no such job", retry=False)
+    else:
+        if state in FINAL:
+            node.intake.final[job_id] = state
+        call.answer_json(200, {"state": state})
+
+
+def _read_state(node, job_id, on_state, tables=("jobs", "runs", "done"), found=None):
+    """Read a job's state from the store: "" if unknown, None if that failed.
+
+    ``done`` is read last: a job moves there in one transaction.
+    """
+    found = found or {}
+
+    def done(listing):
+        if isinstance(listing, Refused | Unknown):
+            log("warning", "state_unreadable", job=job_id, reason=listing.reason)
+            on_state(None)
+            return
+        rows = {row.key: row for row in listing.rows}
+        found[tables[0]] = rows.get(job_id)
+        if len(tables) > 1:
+            _read_state(node, job_id, on_state, tables[1:], found)
+        else:
+            on_state(_state_in(found))
+
+    part = commits.part_of(job_id)
+    node.store.read(tables[0], part, done, job_id, job_id + "\0")
+
+
+def _state_in(found):
+    if found["done"] is not None:
+        return found["done"].value.decode()
+    if found["runs"] is not None:
+        record = decode_record(found["runs"].value)
+        if record is not None:
+            return record[0] or (RUNNING if record[1] else QUEUED)
+    return QUEUED if found["jobs"] is not None else ""
+
+
+def _cancel(node, call, job_id):
+    def replied(cancelled):
+        if cancelled:
+            log("info", "cancelled", job=job_id)
+            call.answer_json(200, {"state": CANCELLED})
+        elif cancelled is False:
+            refuse(call, 410, NOT_FOUND, "the job is over", retry=False)
+        else:
+            _cancel_in_store(node, call, job_id)
+
+    if node.leader is not None:
+        node.parts.leader_cancels(node, job_id, replied)
+    else:
+        _ask_leader(
+            node,
+            lambda number: CancelRequest(number, node.address, job_id),
+            CANCEL_ANSWER_S,
+            replied,
+        )
+
+
+def _cancel_in_store(node, call, job_id):
+    """Leave a note for the leader; the job's row must still be there."""
+    part = commits.part_of(job_id)
+
+    def written(result):
+        if isinstance(result, Applied):
+            call.answer_json(200, {"state": CANCELLED})
+        elif isinstance(result, Rows):
+            refuse(call, 410, NOT_FOUND, "the job is over", retry=False)
+        else:
+            # An unknown outcome is safe: the caller cancels again.
+            log("warning", "cancel_failed", job=job_id, reason=result.reason)
+            text = "the store is not available"
+            refuse(call, 503, PLATFORM_UNAVAILABLE, text, verdict=Verdict.MAY_HAVE_RUN)
+
+    def read(listing):
+        if isinstance(listing, Refused | Unknown):
+            written(listing)
+            return
+        rows = {row.key: row for row in listing.rows}
+        row = rows.get(job_id)
+        if row is None or decode_spec(row.value) is None:
+            refuse(call, 410, NOT_FOUND, "no such job", retry=False)
+            return
+        expected = [("jobs", job_id, row.version)]
+        writes = [RowWrite("jobs", job_id + ".cancel", b"1")]
+        node.store.commit(part, expected, writes, written)
+
+    node.store.read("jobs", part, read, job_id, job_id + "\0")
+
+
+# Counts
+
+
+def note_pending(node, pending):
+    """Keep the leader's counts of jobs that have not begun."""
+    node.intake.pending = pending
+    node.intake.pending_at = now_of(node)
+
+
+def _show_pending(node, call, target):
+    if call.request.method != "GET":
+        refuse(call, 405, BAD_REQUEST, "method not allowed", retry=False)
+        return
+    counts, at = node.intake.pending, node.intake.pending_at
+    if at is None or now_of(node) - at > PENDING_AGE_S:
+        refuse(call, 503, PLATFORM_UNAVAILABLE, "the counts are out of date")
+        return
+    call.answer_json(200, {"pending": counts.get(target.queue.name, 0)})
--- /dev/null
+++ b/cornelward/node_leader.py
@@ -0,0 +1,556 @@
+"""The leader's part of a node: takeover, and effects of the dispatcher's core."""
+
+import time
+
+from . import advising, commits, dispatch, dispatch_runs, staged_jobs
+from .commits import Applied, Refused, Rows, Unknown
+from .dispatch_effects import RowWrite
+from .log import get_logger
+from .messages import AdviceRequest, LeaderBeat, LeaderResigned
+from .staged_jobs import decode_record, decode_spec
+
+__all__ = ["LeaderPart", "cancel", "close", "job_accepted", "state_of", "take_over"]
+
+log = get_logger("leader")
+
+BEAT_S = 0.5
+# A node that was not heard for this long gets no questions and no beats.
+NODE_SILENT_S = 2.0
+# The registry changes with each heartbeat of a worker: one answer a while is enough.
+REGISTRY_PAUSE_S = 0.25
+JOBS_PAUSE_S = 0.8
+FEED_WAIT_S = 1.0
+RETRY_S = 0.2
+# A leader that cannot reach the store holds its workers' leases this long.
+HOLD_WITHOUT_STORE_S = 12.0
+# Leases are renewed with every look; they outlive a takeover and a crash of all nodes.
+LEASE_S = 6.0
+# Drift and kill time on top of a lease that a former leader gave.
+UNKNOWN_MARGIN_S = 0.6
+CANCEL_SUFFIX = ".cancel"
+
+
+class LeaderPart:
+    """State of leadership; ``core`` is the Dispatcher once the rows are read."""
+
+    def __init__(self, token, now):
+        self.token = token
+        self.closed = False
+        self.core = None
+        self.begun_at = now
+        # Node name -> (address, when it was heard last).
+        self.nodes = {}
+        self.beat_at = None
+        self.step_asked = False
+        self.store_ok_at = now
+        self.pending_rows = {}
+
+
+def take_over(node, token):
+    """Fence off the former leader, read all rows, then start to dispatch."""
+    part = LeaderPart(token, node.parts.now())
+    node.leader = part
+    waiting = set(commits.PARTS)
+    fences, rows = {}, {}
+
+    def fenced(name, version, found):
+        fences[name] = version
+        rows[name] = found
+        waiting.discard(name)
+        if not waiting:
+            _read_registry(node, part, fences, rows)
+
+    for name in commits.PARTS:
+        _fence(node, part, name, lambda v, f, name=name: fenced(name, v, f))
+
+
+def _retry(node, part, function):
+    def run():
+        if not part.closed:
+            function()
+
+    node.loop.call_later(RETRY_S, run)
+
+
+def _fence(node, part, name, on_done):
+    """Replace the fence of a partition, then list its rows."""
+    value = str(part.token).encode()
+
+    def again():
+        _fence(node, part, name, on_done)
+
+    def written(result):
+        if part.closed:
+            return
+        if isinstance(result, Applied):
+            _list_part(node, part, name, lambda rows: on_done(result.version, rows))
+        else:
+            _retry(node, part, again)
+
+    def read(listing):
+        if part.closed:
+            return
+        if isinstance(listing, Refused | Unknown):
+            _retry(node, part, again)
+            return
+        row = next((r for r in listing.rows if r.key == "main"), None)
+        if row is not None and row.value is not None:
+            token = int(row.value)
+            if token > part.token:
+                node.parts.lose_leadership(node, "a later leader has set its fence")
+                return
+            if token == part.token:
+                # Our own write, whose answer was lost.
+                _list_part(node, part, name, lambda rows: on_done(row.version, rows))
+                return
+        expected = [("fence", "main", row.version if row else 0)]
+        writes = [RowWrite("fence", "main", value)]
+        node.store.commit(name, expected, writes, written)
+
+    node.store.read("fence", name, read)
+
+
+def _list_part(node, part, name, on_done, tables=("jobs", "runs", "done"), found=None):
+    found = found or {}
+
+    def done(listing):
+        if part.closed:
+            return
+        if isinstance(listing, Refused | Unknown):
+            _retry(
+                node,
+                part,
+                lambda: _list_part(node, part, name, on_done, tables, found),
+            )
+            return
+        found[tables[0]] = listing
+        if len(tables) > 1:
+            _list_part(node, part, name, on_done, tables[1:], found)
+        else:
+            on_done(found)
+
+    node.store.read(tables[0], name, done)
+
+
+def _read_registry(node, part, fences, rows):
+    def done(listing):
+        if part.closed:
+            return
+        if isinstance(listing, Refused | Unknown):
+            _retry(node, part, lambda: _read_registry(node, part, fences, rows))
+            return
+        _begin(node, part, fences, rows, listing)
+
+    node.store.read("servers", "", done)
+
+
+def _begin(node, part, fences, rows, registry):
+    now = node.parts.now()
+    settings = node.settings
+    cfg = {
+        "lease_s": min(LEASE_S, settings.longest_lease_s),
+        "unknown_lease_s": HOLD_WITHOUT_STORE_S
+        + settings.longest_lease_s * 1.02
+        + UNKNOWN_MARGIN_S,
+    }
+    core = dispatch.Dispatcher(part.token, fences, cfg, now)
+    part.core = core
+    part.store_ok_at = now
+    set_config(node)
+    dispatch.workers_seen(core, now, _workers(node, registry.rows), complete=True)
+    for listings in rows.values():
+        _restore(node, core, now, listings)
+    part.nodes[node.settings.node] = (node.address, None)
+    log(
+        "info",
+        "leading",
+        token=part.token,
+        jobs=len(core.jobs),
+        workers=len(core.workers),
+        after_ms=round((now - part.begun_at) * 1000),
+    )
+    _follow_registry(node, part, registry.version)
+    _follow_jobs(node, part, min(r["jobs"].version for r in rows.values()))
+    _beat(node, part, now)
+    ask_step(node)
+
+
+def _restore(node, core, now, listings):
+    records = {row.key: row for row in listings["runs"].rows}
+    cancelled = []
+    for row in listings["done"].rows:
+        core.finished[row.key] = (row.value or b"").decode()
+    for row in listings["jobs"].rows:
+        if row.key.endswith(CANCEL_SUFFIX):
+            cancelled.append(row.key.removesuffix(CANCEL_SUFFIX))
+            continue
+        spec = decode_spec(row.value) if row.value is not None else None
+        if spec is None:
+            log("error", "job_unreadable", job=row.key)
+            continue
+        accepted_at = _local_time(node, spec.accepted_at, now)
+        record_row = records.get(row.key)
+        record = decode_record(record_row.value) if record_row else None
+        if record is None:
+            dispatch.job_seen(core, now, spec, row.version, accepted_at)
+        else:
+            version = record_row.version
+            dispatch.restore_job(
+                core, spec, row.version, record, version, accepted_at, now
+            )
+    for job_id in cancelled:
+        dispatch.cancel(core, now, job_id, lambda value: None)
+
+
+def _local_time(node, accepted_at, now):
+    store_now = node.store.clock(now)
+    if not accepted_at or store_now is None:
+        return now
+    return now - max(0.0, store_now - accepted_at)
+
+
+def _workers(node, rows):
+    found = []
+    for row in rows:
+        info = node.parts.decode_worker(row.key, row.value) if row.value else None
+        if info is not None:
+            found.append(info)
+        elif row.value is not None:
+            log("debug", "registry_entry_ignored", key=row.key)
+    return found
+
+
+# Feeds
+
+
+def _follow_registry(node, part, version):
+    def done(changes):
+        if part.closed:
+            return
+        now = node.parts.now()
+        if isinstance(changes, Refused | Unknown):
+            _retry(node, part, lambda: _follow_registry(node, part, version))
+            return
+        if not hasattr(changes, "rows"):
+            _reread_registry(node, part)
+            return
+        dispatch.workers_seen(part.core, now, _workers(node, changes.rows), False)
+        for row in changes.rows:
+            if row.value is None:
+                dispatch.worker_gone(part.core, row.key)
+        ask_step(node)
+        node.loop.call_later(
+            REGISTRY_PAUSE_S, lambda: _follow_registry(node, part, changes.version)
+        )
+
+    if not part.closed:
+        node.store.follow("servers", version, FEED_WAIT_S, done)
+
+
+def _reread_registry(node, part):
+    def done(listing):
+        if part.closed:
+            return
+        if isinstance(listing, Refused | Unknown):
+            _retry(node, part, lambda: _reread_registry(node, part))
+            return
+        infos = _workers(node, listing.rows)
+        dispatch.workers_seen(part.core, node.parts.now(), infos, complete=True)
+        ask_step(node)
+        _follow_registry(node, part, listing.version)
+
+    node.store.read("servers", "", done)
+
+
+def _follow_jobs(node, part, version):
+    """Take in jobs and cancels of which no message arrived."""
+
+    def done(changes):
+        if part.closed:
+            return
+        if isinstance(changes, Refused | Unknown):
+            _retry(node, part, lambda: _follow_jobs(node, part, version))
+            return
+        if not hasattr(changes, "rows"):
+            _reread_jobs(node, part, list(commits.PARTS), None)
+            return
+        _take_job_rows(node, part, changes.rows)
+        node.loop.call_later(
+            JOBS_PAUSE_S, lambda: _follow_jobs(node, part, changes.version)
+        )
+
+    if not part.closed:
+        node.store.follow("jobs", version, FEED_WAIT_S, done)
+
+
+def _reread_jobs(node, part, parts, version):
+    """List the jobs of each partition again, then follow from the first listing."""
+
+    def done(listing):
+        if part.closed:
+            return
+        if isinstance(listing, Refused | Unknown):
+            _retry(node, part, lambda: _reread_jobs(node, part, parts, version))
+            return
+        _take_job_rows(node, part, listing.rows)
+        first = version if version is not None else listing.version
+        if len(parts) > 1:
+            _reread_jobs(node, part, parts[1:], first)
+        else:
+            _follow_jobs(node, part, first)
+
+    node.store.read("jobs", parts[0], done)
+
+
+def _take_job_rows(node, part, rows):
+    for row in rows:
+        if row.value is None:
+            continue
+        if row.key.endswith(CANCEL_SUFFIX):
+            job_id = row.key.removesuffix(CANCEL_SUFFIX)
+            dispatch.cancel(part.core, node.parts.now(), job_id, lambda value: None)
+        else:
+            job_accepted(node, row.value, row.version)
+    ask_step(node)
+
+
+def job_accepted(node, value, version):
+    """Take in a job's row."""
+    core = node.leader.core
+    spec = decode_spec(value)
+    if core is None:
+        # The rows are being read; the feed has this one if they do not.
+        return
+    if spec is None:
+        log("error", "job_unreadable", version=version)
+        return
+    now = node.parts.now()
+    if spec.id not in core.jobs and spec.id not in core.finished:
+        log("debug", "job_seen", job=spec.id)
+    dispatch.job_seen(
+        core, now, spec, version, _local_time(node, spec.accepted_at, now)
+    )
+    ask_step(node)
+
+
+# Questions
+
+
+def set_config(node):
+    """Use the node's configuration in the core."""
+    if node.leader.core is not None and node.config is not None:
+        dispatch.set_queues(node.leader.core, node.config.queues)
+
+
+def state_of(node, job_id):
+    """Return the recorded state of a job, or None."""
+    core = node.leader.core
+    return dispatch.state_of(core, job_id) if core is not None else None
+
+
+def cancel(node, job_id, reply):
+    """Cancel a job; ``reply`` as for ``dispatch.cancel``."""
+    core = node.leader.core
+    if core is None:
+        reply(None)
+        return
+    dispatch.cancel(core, node.parts.now(), job_id, reply)
+    ask_step(node)
+
+
+def advice_answered(node, call_id, approved):
+    """Take in an answer of the policy service."""
+    if node.leader.core is not None:
+        dispatch.advice_answered(node.leader.core, node.parts.now(), call_id, approved)
+        ask_step(node)
+
+
+def node_heard(node, name, address):
+    """Note that a node is alive."""
+    node.leader.nodes[name] = (address, node.parts.now())
+
+
+# Effects
+
+
+def ask_step(node):
+    """Run the core's systems on the next turn of the loop."""
+    part = node.leader
+    if part is None or part.step_asked or part.core is None:
+        return
+    part.step_asked = True
+
+    def run():
+        part.step_asked = False
+        if not part.closed:
+            run_step(node, part)
+
+    node.loop.call_soon(run)
+
+
+def run_step(node, part):
+    """Run the core's systems and carry out the effects."""
+    core = part.core
+    now = node.parts.now()
+    dispatch.step(core, now, time.time())
+    if core.fenced_off:
+        node.parts.lose_leadership(node, "a later leader has set its fence")
+        return
+    effects, core.effects = core.effects, []
+    for effect in effects:
+        EFFECTS[type(effect).__name__](node, part, effect)
+
+
+def tick(node):
+    """Run what is due by time."""
+    part = node.leader
+    if part.core is None or part.closed:
+        return
+    now = node.parts.now()
+    if part.beat_at is None or now - part.beat_at >= BEAT_S:
+        _beat(node, part, now)
+    run_step(node, part)
+
+
+def _beat(node, part, now):
+    part.beat_at = now
+    for name, (address, heard_at) in list(part.nodes.items()):
+        if heard_at is not None and now - heard_at > NODE_SILENT_S:
+            del part.nodes[name]
+            node.peers.forget(address)
+    advising.set_nodes(part.core.advising, part.nodes)
+    pending = dispatch.pending_by_queue(part.core)
+    node.parts.note_pending(node, pending)
+    renewed_at = node.leadership.renewed_at
+    beat = LeaderBeat(node.address, part.token, now - renewed_at, pending)
+    for name, (address, _) in part.nodes.items():
+        if name != node.settings.node:
+            node.peers.send(address, beat)
+
+
+def _commit(node, part, effect):
+    def done(result):
+        if part.closed:
+            return
+        if isinstance(result, Applied | Rows):
+            part.store_ok_at = node.parts.now()
+        dispatch.commit_answered(part.core, node.parts.now(), effect.part, result)
+        ask_step(node)
+
+    node.store.commit(effect.part, effect.expected, effect.writes, done)
+
+
+def _may_order(node, part):
+    """Return whether this leader may still extend leases."""
+    silent_s = node.parts.now() - max(part.store_ok_at, node.leadership.renewed_at)
+    return silent_s < HOLD_WITHOUT_STORE_S
+
+
+def _start(node, part, effect):
+    def done(answer):
+        if part.closed:
+            return
+        now = node.parts.now()
+        dispatch_runs.start_answered(part.core, now, effect.run, answer)
+        ask_step(node)
+
+    run = effect.run
+    log("info", "start", task=run.name, run=run.attempt, worker=run.worker)
+    node.parts.orders.start(effect, part.token, done)
+
+
+def _stop(node, part, effect):
+    def done(acknowledged):
+        if part.closed:
+            return
+        dispatch_runs.stop_answered(
+            part.core,
+            node.parts.now(),
+            effect.worker,
+            effect.name,
+            effect.attempt,
+            acknowledged,
+        )
+
+    log("info", "stop", task=effect.name, run=effect.attempt, worker=effect.worker)
+    node.parts.orders.stop(effect, part.token, done)
+
+
+def _look(node, part, effect):
+    sent_at = node.parts.now()
+
+    def done(report):
+        if part.closed:
+            return
+        if report is not None and not hasattr(report, "running"):
+            node.parts.lose_leadership(node, f"a worker answered {report}")
+            return
+        now = node.parts.now()
+        dispatch_runs.look_answered(part.core, now, effect.worker, sent_at, report)
+        ask_step(node)
+
+    if not _may_order(node, part):
+        log("warning", "lease_not_extended", worker=effect.worker)
+        node.loop.call_later(RETRY_S, lambda: done(None))
+        return
+    node.parts.orders.look(effect, part.token, done)
+
+
+def _ask_advice(node, part, effect):
+    def done(approved):
+        if not part.closed:
+            dispatch.advice_answered(
+                part.core, node.parts.now(), effect.call_id, approved
+            )
+            ask_step(node)
+
+    if effect.node == node.settings.node:
+        node.parts.ask_advice(effect.step_name, effect.workers, done)
+        return
+    address = part.nodes[effect.node][0]
+    request = AdviceRequest(
+        node.address, part.token, effect.call_id, effect.step_name, effect.workers
+    )
+    node.peers.send(address, request)
+
+
+def _tell(node, part, effect):
+    effect.reply(effect.value)
+
+
+EFFECTS = {
+    "Commit": _commit,
+    "Start": _start,
+    "Stop": _stop,
+    "Look": _look,
+    "AskAdvice": _ask_advice,
+    "Tell": _tell,
+}
+
+
+# End of leadership
+
+
+def close(node):
+    """Stop acting: answers that still arrive are dropped."""
+    node.leader.closed = True
+
+
+def resign(node):
+    """Give leadership up and tell the other nodes."""
+    part = node.leader
+    part.closed = True
+    state = node.leadership
+
+    def done(result):
+        log("info", "resigned", result=type(result).__name__)
+        for name, (address, _) in part.nodes.items():
+            if name != node.settings.node:
+                node.peers.send(address, LeaderResigned(part.token))
+
+    effect = node.parts.resignation(state)
+    node.leader = None
+    node.parts.write_leader(node, effect, done)
+
+
+__all__ += ["staged_jobs"]
--- /dev/null
+++ b/cornelward/platform/compose.py
@@ -0,0 +1,107 @@
+"""Builds a node on the operators' platform from its settings."""
+
+import os
+import random
+import time
+from typing import Any, NamedTuple
+
+from .. import node as shell
+from .. import node_jobs, node_leader
+from ..http_client import HttpClient
+from ..http_server import HttpServer
+from ..leadership import resign
+from ..loop import Loop
+from ..metrics import new_metrics
+from ..peers import Peers
+from .ingress import decode_config, decode_job, find_target
+from .orders import connect_advice, connect_orders, decode_worker
+from .store import connect_store
+
+__all__ = ["Parts", "build_node"]
+
+# Where operators read metrics and the state dump; the platform leaves it free.
+METRICS_PORT = 9464
+
+
+class Parts(NamedTuple):
+    """What a node is built of: clients, servers, decoders."""
+
+    loop: Loop
+    now: Any
+    store: Any
+    peers: Peers
+    callers: HttpServer
+    orders: Any
+    ask_advice: Any
+    find_target: Any
+    decode_config: Any
+    decode_job: Any
+    decode_worker: Any
+    leader_accepts: Any
+    leader_state: Any
+    leader_cancels: Any
+    note_pending: Any
+    lose_leadership: Any
+    resignation: Any
+    write_leader: Any
+
+
+def _address(text):
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def _answer_ready(node, call):
+    ready = shell.is_ready(node)
+    call.answer_json(200 if ready else 503, {"ready": ready})
+
+
+def build_node(settings, loop=None):
+    """Return a Node that is bound and starts with its loop."""
+    loop = loop or Loop()
+    client = HttpClient(loop)
+    metrics = new_metrics()
+    incarnation = time.time_ns() // 1_000_000
+    holder = []
+    peers = Peers(
+        loop,
+        settings.peer_address,
+        settings.node,
+        incarnation,
+        lambda envelope: shell.on_message(holder[0], envelope),
+    )
+    callers = HttpServer(
+        loop,
+        _address(settings.caller_address),
+        lambda call: node_jobs.handle(holder[0], call),
+    )
+    HttpServer(
+        loop,
+        _address(settings.ready_address),
+        lambda call: _answer_ready(holder[0], call),
+    )
+    observe = metrics.observe_platform
+    parts = Parts(
+        loop=loop,
+        now=shell.clock,
+        store=connect_store(client, settings.store_address, shell.clock, observe),
+        peers=peers,
+        callers=callers,
+        orders=connect_orders(client, observe),
+        ask_advice=connect_advice(client, settings.advice_address),
+        find_target=find_target,
+        decode_config=decode_config,
+        decode_job=decode_job,
+        decode_worker=decode_worker,
+        leader_accepts=node_leader.job_accepted,
+        leader_state=node_leader.state_of,
+        leader_cancels=node_leader.cancel,
+        note_pending=node_jobs.note_pending,
+        lose_leadership=shell.lose_leadership,
+        resignation=resign,
+        write_leader=shell._write_leader,
+    )
+    node = shell.Node(parts, settings, incarnation, random.Random(os.urandom(16)))
+    holder.append(node)
+    shell.start(node)
+    return node
--- /dev/null
+++ b/cornelward/platform/ingress.py
@@ -0,0 +1,137 @@
+"""Callers' requests and the operators' configuration, decoded."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from ..http_call import Limits
+from ..staged_jobs import AdvicePolicy, JobSpec, Queue, StepSpec, spec_problem
+
+__all__ = ["Config", "Target", "decode_config", "decode_job", "find_target"]
+
+ID_DIGITS = 16
+HEX = frozenset("0123456789abcdef")
+
+
+class Config(NamedTuple):
+    """A configuration: ``routes`` holds (host, path prefix, Queue), longest first."""
+
+    version: int
+    routes: list
+    queues: dict
+    limits: Limits
+
+
+class Target(NamedTuple):
+    """What a request is about; ``job_id`` is empty for the queue itself."""
+
+    queue: Queue
+    job_id: str
+
+
+def decode_config(value):
+    """Return the Config in the operators' row, or None if it cannot be read."""
+    try:
+        raw = msgspec.json.decode(value)
+        routes = [(r["host"], r["path_prefix"], _queue(r)) for r in raw["routes"]]
+        routes.sort(key=lambda route: -len(route[1]))
+        limits = raw["limits"]
+        return Config(
+            raw["version"],
+            routes,
+            {queue.name: queue for _, _, queue in routes},
+            Limits(
+                max_header_bytes=limits["max_header_bytes"],
+                max_body_bytes=limits["max_body_bytes"],
+                idle_timeout_s=limits["idle_timeout_ms"] / 1000,
+                receive_timeout_s=limits["header_timeout_ms"] / 1000,
+            ),
+        )
+    except (msgspec.DecodeError, AttributeError, KeyError, TypeError, ValueError):
+        return None
+
+
+def _queue(route):
+    advice = route.get("advice")
+    if advice:
+        advice = AdvicePolicy(
+            advice["decision_ms"] / 1000,
+            advice["period_ms"] / 1000,
+            advice["valid_ms"] / 1000,
+        )
+    return Queue(
+        name=route["name"],
+        service=route["service"],
+        priority=route.get("priority", 0),
+        max_attempts=route.get("max_attempts", 1),
+        stretch=float(route.get("stretch", 1.0)),
+        slo_s=route.get("latency_slo_ms", 0) / 1000,
+        advice=advice or None,
+    )
+
+
+def find_target(cfg, host, path):
+    """Return the Target of a request, or None if no queue or job is meant."""
+    name = host.rsplit(":", 1)[0]
+    for route_host, prefix, queue in cfg.routes:
+        if route_host == name and path.startswith(prefix):
+            rest = path[len(prefix) :]
+            if not rest:
+                return Target(queue, "")
+            if len(rest) == ID_DIGITS and set(rest.lower()) <= HEX:
+                return Target(queue, rest)
+            return None
+    return None
+
+
+def decode_job(target, body):
+    """Return (JobSpec, None), or (None, problem)."""
+    try:
+        raw = msgspec.json.decode(body)
+        steps = tuple(_step(step) for step in raw["steps"])
+        spec = JobSpec(
+            id=target.job_id,
+            queue=target.queue,
+            payload=_text(raw.get("spec", "")),
+            steps=steps,
+            occurrences=int(raw.get("times", 0)),
+            # Wall time of the first occurrence.
+            first_due_at=raw.get("start_at_ms", 0) / 1000,
+            interval_s=raw.get("interval_ms", 0) / 1000,
+        )
+    except (
+        msgspec.DecodeError,
+        AttributeError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as exc:
+        return None, f"the job cannot be read: {exc}"
+    problem = spec_problem(steps)
+    return (None, problem) if problem else (spec, None)
+
+
+def _text(value):
+    if not isinstance(value, str):
+        raise TypeError("spec is not a text")
+    return value
+
+
+def _step(raw):
+    return StepSpec(
+        count=int(raw["count"]),
+        cpu=int(raw.get("cpu", 0)),
+        memory_mb=int(raw.get("mem_mb", 0)),
+        accelerators=int(raw.get("gpu", 0)),
+        estimate_s=raw.get("estimate_ms", 0) / 1000,
+        after=tuple(raw.get("after", ())),
+        gang=bool(raw.get("gang", False)),
+        one_rack=bool(raw.get("tightly_coupled", False)),
+        label=_text(raw.get("requires", "")),
+        near_rack=_text(raw.get("affinity", "")),
+        max_per_worker=int(raw.get("anti_affinity", 0)),
+        speculative=bool(raw.get("speculative", False)),
+        long_running=bool(raw.get("runs_forever", False)),
+        checkpoints=bool(raw.get("checkpoints", False)),
+        backfill=bool(raw.get("fills", False)),
+    )
--- /dev/null
+++ b/cornelward/platform/settings.py
@@ -0,0 +1,68 @@
+"""Settings file of the platform, decoded into the settings of a node."""
+
+import tomllib
+from pathlib import Path
+from typing import NamedTuple
+
+from ..errors import SettingsError
+
+__all__ = ["NodeSettings", "load_node_settings"]
+
+
+class NodeSettings(NamedTuple):
+    """What a node needs to know; addresses are "ip:port", times seconds."""
+
+    node: str
+    failure_domain: str
+    region: str
+    ip: str
+    # Callers' requests, and the balancer's question whether to send any.
+    caller_address: str
+    ready_address: str
+    peer_address: str
+    store_address: str
+    advice_address: str
+    # Writes and reads a second that all nodes together may make.
+    store_writes_per_s: float
+    store_reads_per_s: float
+    longest_lease_s: float
+    stop_s: float
+    gang_window_s: float
+    # Time from SIGTERM to SIGKILL.
+    grace_s: float
+    # Time for which the state of a job that is over stays readable.
+    keep_final_s: float
+
+
+def load_node_settings(path):
+    """Return the NodeSettings in the file; raises SettingsError."""
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        return _decode(raw)
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        raise SettingsError(f"{path}: {exc}") from exc
+    except (KeyError, TypeError, ValueError, IndexError) as exc:
+        raise SettingsError(f"{path}: missing or malformed field {exc}") from exc
+
+
+def _decode(raw):
+    bounds, platform = raw["bounds"], raw["platform"]
+    addresses = raw["bind_addresses"]
+    return NodeSettings(
+        node=raw["node_name"],
+        failure_domain=raw["zone"],
+        region=raw["region"],
+        ip=raw["ip"],
+        caller_address=addresses["front"],
+        ready_address=addresses["ready"],
+        peer_address=f"{raw['ip']}:{int(raw['internal_ports'][0])}",
+        store_address=platform["address"],
+        advice_address=raw.get("advice", ""),
+        store_writes_per_s=float(platform["writes_per_s"]),
+        store_reads_per_s=float(platform["reads_per_s"]),
+        longest_lease_s=float(bounds["max_hold_ms"]) / 1000,
+        stop_s=float(bounds["stop_ms"]) / 1000,
+        gang_window_s=float(bounds["gang_timeout_ms"]) / 1000,
+        grace_s=float(bounds["grace_s"]),
+        keep_final_s=float(bounds["status_s"]),
+    )
--- /dev/null
+++ b/cornelward/platform/store.py
@@ -0,0 +1,214 @@
+"""The platform's metadata store: rows, transactions and the feed of changes."""
+
+import base64
+import binascii
+from typing import Any, NamedTuple
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..commits import Applied, Refused, Rows, Unknown
+
+__all__ = ["Changes", "HistoryLost", "Listing", "Store", "StoreRow", "connect_store"]
+
+# The store answers in 5 ms; on slow days in 60 times that.
+CALL_TIMEOUT_S = 1.0
+# Beyond the time that the store itself may hold an answer back.
+FEED_TIMEOUT_S = 0.8
+
+
+class StoreRow(NamedTuple):
+    """One row; ``value`` is None where it was removed or is not readable."""
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+class Listing(NamedTuple):
+    """Rows of one table and partition; ``version`` is the newest of the store."""
+
+    rows: list
+    version: int
+    now_s: float
+
+
+class _Page(NamedTuple):
+    """Part of a listing; ``more`` tells whether rows follow."""
+
+    listing: Listing
+    more: bool
+
+
+class Changes(NamedTuple):
+    """Rows that changed after a version, in order."""
+
+    rows: list
+    version: int
+
+
+class HistoryLost(NamedTuple):
+    """The store no longer has the changes after that version."""
+
+
+class Store(NamedTuple):
+    """The store's operations, as functions with ``on_done`` last.
+
+    ``commit(part, expected, writes, on_done)`` gives Applied, Rows, Refused or
+    Unknown; ``read(table, part, on_done, first, end)`` a Listing, Refused or Unknown;
+    ``follow(table, after, wait_s, on_done)`` Changes, HistoryLost, Refused or Unknown.
+    ``clock(now)`` estimates the store's clock, or is None.
+    """
+
+    commit: Any
+    read: Any
+    follow: Any
+    clock: Any
+
+
+class _Clock:
+    """The last clock value that the store told."""
+
+    __slots__ = ("at", "now_s")
+
+    def __init__(self):
+        self.at = self.now_s = None
+
+
+def connect_store(client, addr, now, observe):
+    """Return the Store at ``addr``; ``observe(operation, outcome)`` hears each call."""
+    clock = _Clock()
+
+    def call(operation, method, path, body, timeout_s, convert, on_done):
+        def finish(result):
+            outcome = _convert(result, convert)
+            if result.error == "timeout":
+                # Other connections may have gone silent with this one.
+                client.close_idle(addr)
+            if isinstance(outcome, _Page):
+                clock.at, clock.now_s = now(), outcome.listing.now_s
+            observe(operation, type(outcome).__name__.strip("_").lower())
+            on_done(outcome)
+
+        client.request(
+            addr,
+            method,
+            path,
+            finish,
+            headers=(("Content-Type", "application/json"),) if body else (),
+            body=body,
+            timeout_s=timeout_s,
+        )
+
+    def estimate(at):
+        return None if clock.at is None else clock.now_s + (at - clock.at)
+
+    return Store(_make_commit(call), _make_read(call), _make_follow(call), estimate)
+
+
+def _convert(result, convert):
+    """Return the decoded answer; a call that was never sent did nothing."""
+    if result.status is None:
+        kind = Unknown if result.sent else Refused
+        return kind(result.error)
+    if result.status in (429, 503):
+        return Refused(f"status {result.status}")
+    try:
+        return convert(result)
+    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+        return Unknown(f"status {result.status}: {exc!r}")
+
+
+def _row(raw):
+    value = None
+    if not raw.get("deleted") and raw.get("value") is not None:
+        try:
+            value = base64.b64decode(raw["value"])
+        except (binascii.Error, TypeError, ValueError):
+            value = None
+    return StoreRow(raw["key"], value, raw["row_version"])
+
+
+def _make_commit(call):
+    def convert(result):
+        body = result.json()
+        if result.status == 200:
+            return Applied(body["row_version"])
+        if result.status == 412:
+            found = [(raw["table"], _row(raw)) for raw in body["rows"]]
+            return Rows({(t, row.key): (row.value, row.version) for t, row in found})
+        return Unknown(f"status {result.status}")
+
+    def commit(part, expected, writes, on_done):
+        def name(table, key):
+            return {"table": table, "part": part, "key": key}
+
+        body = {
+            "expected_revision": [
+                name(table, key) | {"row_version": version}
+                for table, key, version in expected
+            ],
+            "writes": [
+                name(w.table, w.key) | {"value": base64.b64encode(w.value).decode()}
+                for w in writes
+                if w.value is not None
+            ],
+            "remove": [name(w.table, w.key) for w in writes if w.value is None],
+        }
+        data = msgspec.json.encode(body)
+        call("commit", "POST", "/rows-tx", data, CALL_TIMEOUT_S, convert, on_done)
+
+    return commit
+
+
+def _make_read(call):
+    def convert(result):
+        body = result.json()
+        if result.status != 200:
+            return Unknown(f"status {result.status}")
+        rows = [_row(raw) for raw in body["rows"]]
+        listing = Listing(rows, body["row_version"], body["now_ms"] / 1000)
+        return _Page(listing, bool(body.get("has_more")))
+
+    def read(table, part, on_done, first="", end="", found=None):
+        def finish(page):
+            if not isinstance(page, _Page):
+                on_done(page)
+                return
+            listing = page.listing
+            if found is not None:
+                # Changes after the first page are in the feed from its version on.
+                listing = found._replace(rows=found.rows + listing.rows)
+            if page.more:
+                after = listing.rows[-1].key + "\0"
+                read(table, part, on_done, after, end, listing)
+            else:
+                on_done(listing)
+
+        query = {"table": table, "part": part}
+        if first:
+            query["from"] = first
+        if end:
+            query["to"] = end
+        path = f"/rows-get?{urlencode(query)}"
+        call("read", "GET", path, b"", CALL_TIMEOUT_S, convert, finish)
+
+    return read
+
+
+def _make_follow(call):
+    def convert(result):
+        if result.status == 410:
+            return HistoryLost()
+        body = result.json()
+        if result.status != 200:
+            return Unknown(f"status {result.status}")
+        return Changes([_row(raw) for raw in body["rows"]], body["row_version"])
+
+    def follow(table, after, wait_s, on_done):
+        query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
+        path = f"/rows-feed?{urlencode(query)}"
+        limit = wait_s + FEED_TIMEOUT_S
+        call("follow", "GET", path, b"", limit, convert, on_done)
+
+    return follow
--- /dev/null
+++ b/cornelward/staged_jobs.py
@@ -0,0 +1,295 @@
+"""Core: jobs made of steps, their tasks, and the record that a leader keeps of them.
+
+A staged job has steps that run one after another as ``after`` says; a step has tasks
+of one size. Times are seconds, processors thousandths of a core.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+__all__ = [
+    "CANCELLED",
+    "COMPLETED",
+    "DONE",
+    "FAILED",
+    "PLACED",
+    "QUEUED",
+    "RUNNING",
+    "WAITING",
+    "AdvicePolicy",
+    "Job",
+    "JobSpec",
+    "Queue",
+    "StepSpec",
+    "Task",
+    "chain_s",
+    "decode_record",
+    "decode_spec",
+    "encode_record",
+    "encode_spec",
+    "new_job",
+    "restore_record",
+    "spec_problem",
+]
+
+# States of a job.
+QUEUED, RUNNING, COMPLETED = "queued", "running", "completed"
+FAILED, CANCELLED = "failed", "cancelled"
+# States of a task.
+WAITING, PLACED, DONE = "waiting", "placed", "done"
+
+# Bounds of one job; a larger one would not fit in a row of the store.
+MAX_STEPS = 200
+MAX_TASKS = 2_000
+
+
+class AdvicePolicy(NamedTuple):
+    """Time that the policy service takes, and for how long its tickets hold."""
+
+    decision_s: float
+    per_worker_s: float
+    valid_s: float
+
+
+class Queue(NamedTuple):
+    """A queue of the configuration; ``slo_s`` and ``stretch`` give the objective."""
+
+    name: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    slo_s: float = 0.0
+    advice: AdvicePolicy | None = None
+
+
+class StepSpec(NamedTuple):
+    """One step: ``count`` tasks of one size."""
+
+    count: int
+    cpu: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimate_s: float = 0.0
+    after: tuple[int, ...] = ()
+    gang: bool = False
+    # The tasks of a gang run slower on more than one rack.
+    one_rack: bool = False
+    label: str = ""
+    near_rack: str = ""
+    max_per_worker: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    checkpoints: bool = False
+    # Its processors are not counted against a worker's capacity.
+    backfill: bool = False
+
+
+class JobSpec(NamedTuple):
+    """What a caller submitted; immutable.
+
+    ``accepted_at`` is on the store's clock, ``first_due_at`` is wall time.
+    ``occurrences`` is 0 for a job that runs once, at once.
+    """
+
+    id: str
+    queue: Queue
+    payload: str
+    steps: tuple[StepSpec, ...]
+    accepted_at: float = 0.0
+    occurrences: int = 0
+    first_due_at: float = 0.0
+    interval_s: float = 0.0
+
+
+_spec_encoder = msgspec.msgpack.Encoder()
+_spec_decoder = msgspec.msgpack.Decoder(JobSpec)
+
+
+def encode_spec(spec):
+    """Return the row value of ``spec``."""
+    return _spec_encoder.encode(spec)
+
+
+def decode_spec(data):
+    """Return the JobSpec in a row value, or None if it is not one."""
+    try:
+        return _spec_decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
+
+
+def spec_problem(steps):
+    """Return why ``steps`` cannot be a job, or None."""
+    if not 0 < len(steps) <= MAX_STEPS:
+        return f"a job has 1 to {MAX_STEPS} steps"
+    for number, step in enumerate(steps):
+        if step.count < 1:
+            return f"step {number} has no tasks"
+        if min(step.cpu, step.memory_mb, step.accelerators) < 0:
+            return f"step {number} asks for less than nothing"
+        if any(not 0 <= before < number for before in step.after):
+            return f"step {number} waits for a step that is not earlier"
+    if sum(step.count for step in steps) > MAX_TASKS:
+        return f"a job has at most {MAX_TASKS} tasks"
+    return None
+
+
+def chain_s(steps, first=0):
+    """Return the estimated time of the longest chain of steps from ``first``."""
+    ends = []
+    for number, step in enumerate(steps):
+        before = max((ends[i] for i in step.after), default=0.0)
+        ends.append(before + (step.estimate_s if number >= first else 0.0))
+    return max(ends)
+
+
+class Task:
+    """One task of one occurrence; ``attempt`` numbers its starts."""
+
+    __slots__ = ("attempt", "failures", "key", "run", "saved", "state")
+
+    def __init__(self, key):
+        self.key = key
+        self.state = WAITING
+        self.attempt = 0
+        self.failures = 0
+        self.saved = ""
+        # The Run while one is placed.
+        self.run = None
+
+
+class Job:
+    """A job and its tasks; owned by the leader.
+
+    ``tasks`` maps (occurrence, step) to the list of its Tasks. ``version`` is that of
+    the job's row, ``record_version`` that of its record (0: none yet).
+    """
+
+    __slots__ = (
+        "accepted_at",
+        "after_commit",
+        "deadline",
+        "dirty",
+        "outcome",
+        "record_version",
+        "shown",
+        "spec",
+        "started",
+        "tasks",
+        "tickets",
+        "version",
+    )
+
+    def __init__(self, spec, version, accepted_at):
+        self.spec = spec
+        self.version = version
+        self.record_version = 0
+        self.accepted_at = accepted_at
+        chain = chain_s(spec.steps)
+        self.deadline = accepted_at + spec.queue.slo_s + spec.queue.stretch * chain
+        self.tasks = {}
+        # FAILED, CANCELLED or COMPLETED once decided; shown once it is recorded.
+        self.outcome = None
+        self.shown = QUEUED
+        self.started = False
+        self.dirty = False
+        # Effects to carry out once the present state is recorded.
+        self.after_commit = []
+        # (occurrence, step) -> Tickets of the policy service.
+        self.tickets = {}
+
+
+def new_job(spec, version, accepted_at):
+    """Return the Job of a row; occurrences are opened when they are due."""
+    job = Job(spec, version, accepted_at)
+    if not spec.occurrences:
+        open_occurrence(job, 0)
+    return job
+
+
+def open_occurrence(job, number):
+    """Create the tasks of one occurrence."""
+    for step_number, step in enumerate(job.spec.steps):
+        key = number, step_number
+        if key not in job.tasks:
+            job.tasks[key] = [Task((*key, i)) for i in range(step.count)]
+
+
+def occurrences_due(job, wall_now):
+    """Return how many occurrences are due at a wall time."""
+    spec = job.spec
+    if not spec.occurrences:
+        return 1
+    if wall_now < spec.first_due_at:
+        return 0
+    if spec.interval_s <= 0:
+        return spec.occurrences
+    passed = int((wall_now - spec.first_due_at) / spec.interval_s) + 1
+    return min(passed, spec.occurrences)
+
+
+def is_step_done(job, key):
+    """Return whether all tasks of (occurrence, step) have succeeded."""
+    return all(task.state == DONE for task in job.tasks[key])
+
+
+def is_step_ready(job, key):
+    """Return whether the steps that (occurrence, step) waits for are done."""
+    occurrence, number = key
+    return all(
+        is_step_done(job, (occurrence, before))
+        for before in job.spec.steps[number].after
+    )
+
+
+def is_job_done(job):
+    """Return whether every task of every occurrence has succeeded."""
+    expected = max(1, job.spec.occurrences) * len(job.spec.steps)
+    return len(job.tasks) == expected and all(is_step_done(job, k) for k in job.tasks)
+
+
+def task_name(job, task):
+    """Return the task's name in orders: id, occurrence, step and index."""
+    return ".".join((job.spec.id, *map(str, task.key)))
+
+
+def encode_record(job):
+    """Return the row value of what is known of the job's tasks."""
+    rows = [
+        (*t.key, t.state, t.attempt, t.run.worker if t.run else "", t.failures, t.saved)
+        for tasks in job.tasks.values()
+        for t in tasks
+        if t.attempt or t.state != WAITING
+    ]
+    return msgspec.msgpack.encode((job.outcome or "", job.started, rows))
+
+
+Record = tuple[str, bool, list[tuple[int, int, int, str, int, str, int, str]]]
+_record_decoder = msgspec.msgpack.Decoder(Record)
+
+
+def decode_record(data):
+    """Return (outcome, started, rows) of a record, or None if it is not one."""
+    try:
+        return _record_decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
+
+
+def restore_record(job, record, version):
+    """Put a record into a new Job; yields (task, worker) for each placed task."""
+    outcome, job.started, rows = record
+    job.outcome = outcome or None
+    job.shown = outcome or (RUNNING if job.started else QUEUED)
+    job.record_version = version
+    placed = []
+    for occurrence, step, index, state, attempt, worker, failures, saved in rows:
+        open_occurrence(job, occurrence)
+        task = job.tasks[occurrence, step][index]
+        task.state, task.attempt = state, attempt
+        task.failures, task.saved = failures, saved
+        if state == PLACED or worker:
+            placed.append((task, worker))
+    return placed
