Test the dispatcher's core on a simulated cell under seeded faults

Cause: the new core had no tests. Change: a store, workers, policy service and leaders on a virtual clock (tests/fixtures_dispatch.py); late orders, takeovers beside a former leader, silent and reborn workers, lost and late store answers.

--- /dev/null
+++ b/tests/fixtures_dispatch.py
@@ -0,0 +1,493 @@
+"""A simulated cell for the dispatcher's core: store, workers, policy service, leaders.
+
+Everything happens on one virtual clock; delays and faults come from a seeded random
+source. The workers check what must hold: room, one run of a task at a time, order of
+steps, gangs.
+"""
+
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from cornelward import advising, commits, dispatch, dispatch_runs
+from cornelward.commits import Applied, Refused, Rows, Unknown
+from cornelward.staged_jobs import (
+    DONE,
+    AdvicePolicy,
+    JobSpec,
+    Queue,
+    StepSpec,
+    decode_record,
+    encode_spec,
+)
+from cornelward.workers import WorkerInfo
+
+LEASE_S = 6.0
+UNKNOWN_LEASE_S = 19.0
+STOP_S = 0.3
+GANG_WINDOW_S = 3.0
+# An answer that never comes ends the call after this.
+CALL_LIMIT_S = 0.6
+LATE_S = (2.0, 12.0)
+
+
+class Report(NamedTuple):
+    """A worker's answer to a look."""
+
+    clock_s: float
+    born: int
+    running: list
+    ended: list
+
+
+class Store:
+    """Rows with versions; ``lost`` is the share of answers that do not arrive."""
+
+    def __init__(self, sim):
+        self.sim = sim
+        self.rows = {}
+        self.version = 0
+        self.down = False
+        self.lost = 0.0
+
+    def put(self, part, table, key, value):
+        self.version += 1
+        self.rows[part, table, key] = (value, self.version)
+        return self.version
+
+    def commit(self, part, expected, writes):
+        found = {(t, k): self.rows.get((part, t, k), (None, 0)) for t, k, _ in expected}
+        if any(found[t, k][1] != version for t, k, version in expected):
+            return Rows(found)
+        self.version += 1
+        for write in writes:
+            if write.value is None:
+                self.rows.pop((part, write.table, write.key), None)
+            else:
+                row = (write.value, self.version)
+                self.rows[part, write.table, write.key] = row
+        return Applied(self.version)
+
+    def call(self, part, expected, writes, on_done):
+        sim = self.sim
+        if self.down:
+            sim.after(0.01, lambda: on_done(Refused("down")))
+            return
+        lost = sim.rng.random() < self.lost
+        if lost and sim.rng.random() < 0.5:
+            # Carried out late, if the conditions still hold.
+            late = sim.rng.uniform(1, 6)
+            sim.after(late, lambda: self.commit(part, expected, writes))
+            sim.after(CALL_LIMIT_S, lambda: on_done(Unknown("timeout")))
+            return
+
+        def apply():
+            result = self.commit(part, expected, writes)
+            if lost:
+                sim.after(CALL_LIMIT_S, lambda: on_done(Unknown("timeout")))
+            else:
+                sim.after(0.01, lambda: on_done(result))
+
+        sim.after(0.01, apply)
+
+
+class FakeWorker:
+    """A worker that keeps the platform's rules and checks ours."""
+
+    def __init__(self, sim, info, drift=0.0):
+        self.sim = sim
+        self.info = info
+        self.drift = drift
+        self.silent = False
+        self.late = 0.0
+        self.rebirth(info.born)
+
+    def rebirth(self, born):
+        """Start a new life that knows nothing."""
+        self.info = self.info._replace(born=born)
+        self.started_at = self.sim.now
+        self.token = 0
+        self.running = {}
+        self.closed = {}
+        self.ended = []
+        self.number = 0
+        self.deadline = 0.0
+
+    @property
+    def clock(self):
+        return 100.0 + (self.sim.now - self.started_at) * (1 - self.drift)
+
+    def _sweep(self):
+        if self.running and self.clock > self.deadline:
+            for key in list(self.running):
+                self.end(key, "lapsed")
+
+    def end(self, key, how):
+        """End a run and list it."""
+        if self.running.pop(key, None) is None:
+            return
+        self.closed[key[0]] = max(self.closed.get(key[0], 0), key[1])
+        self.number += 1
+        self.ended.append((self.number, *key, how, ""))
+        self.sim.run_ended(self, key, how)
+
+    def start(self, effect, token):
+        self._sweep()
+        run = effect.run
+        if token < self.token:
+            return "fence"
+        self.token = token
+        if effect.deadline_s < self.clock:
+            return "late"
+        self.deadline = max(self.deadline, min(effect.deadline_s, self.clock + 10))
+        key = (run.name, run.attempt)
+        if key in self.running:
+            return "ok"
+        if run.attempt <= self.closed.get(run.name, 0):
+            return "old"
+        self.running[key] = run.step
+        self.sim.run_started(self, key, run)
+        return "ok"
+
+    def stop(self, effect, token):
+        self._sweep()
+        if token < self.token:
+            return False
+        self.token = token
+        key = (effect.name, effect.attempt)
+        self.closed[effect.name] = max(self.closed.get(effect.name, 0), effect.attempt)
+        if key in self.running:
+            self.sim.after(STOP_S, lambda: self.end(key, "stopped"))
+        return True
+
+    def look(self, effect, token):
+        self._sweep()
+        if token < self.token:
+            return "fence"
+        self.token = token
+        if effect.deadline_s is not None:
+            self.deadline = max(self.deadline, min(effect.deadline_s, self.clock + 10))
+        for entry in self.ended:
+            if entry[0] <= effect.last_end:
+                self.sim.end_noted(entry)
+        self.ended = [e for e in self.ended if e[0] > effect.last_end]
+        running = [(*key, "", 50) for key in self.running]
+        return Report(self.clock, self.info.born, running, list(self.ended))
+
+
+class Sim:
+    """The cell; ``broken`` collects what must not happen."""
+
+    def __init__(self, seed, workers=6, cpu=8_000):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.order = itertools.count()
+        self.queue = []
+        self.broken = []
+        self.store = Store(self)
+        self.fail_share = 0.05
+        self.workers = {}
+        for i in range(workers):
+            info = make_worker(f"w{i}", cpu=cpu, born=1)
+            self.workers[info.id] = FakeWorker(self, info, self.rng.uniform(0, 0.02))
+        self.specs = {}
+        self.done = set()
+        self.noted = set()
+        self.leader = None
+        self.leaders = []
+        self.token = 0
+        self.approved_share = 0.7
+
+    def after(self, delay, function):
+        heapq.heappush(self.queue, (self.now + delay, next(self.order), function))
+
+    def run(self, seconds):
+        """Let time pass."""
+        end = self.now + seconds
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, function = heapq.heappop(self.queue)
+            function()
+        self.now = end
+
+    def submit(self, job_id, steps, queue=None):
+        """Accept a job and tell the leader."""
+        queue = queue or Queue("q", "svc", 1, 4, 2.0, 1.0)
+        spec = JobSpec(job_id, queue, "text", tuple(steps))
+        self.specs[job_id] = spec
+        part = commits.part_of(job_id)
+        version = self.store.put(part, "jobs", job_id, encode_spec(spec))
+        for leader in self.leaders:
+            dispatch.job_seen(leader.core, self.now, spec, version, self.now)
+
+    def lead(self):
+        """Let a new leader take over; the former ones go on until they notice."""
+        self.token += 1
+        self.leader = Leader(self, self.token)
+        self.leaders.append(self.leader)
+        self.leader.take_over()
+
+    def run_started(self, worker, key, run):
+        """Check a start, then let the run end by itself."""
+        name, attempt = key
+        for other in self.workers.values():
+            same = [k for k in other.running if k[0] == name]
+            if [k for k in same if (other, k) != (worker, key)]:
+                self.broken.append(f"{name} runs twice at {self.now:.2f}")
+        if name in self.noted:
+            self.broken.append(f"{name} started after its end was noted")
+        used = sum(step.cpu for step in worker.running.values())
+        if used > worker.info.cpu:
+            self.broken.append(f"{worker.info.id} holds {used} at {self.now:.2f}")
+        job_id, occurrence, step, _ = name.split(".")
+        for before in run.step.after:
+            count = self.specs[job_id].steps[before].count
+            names = {f"{job_id}.{occurrence}.{before}.{i}" for i in range(count)}
+            if names - self.done:
+                self.broken.append(f"{name} started before step {before} ended")
+        how = "failed" if self.rng.random() < self.fail_share else "done"
+        if run.step.gang:
+            self._start_gang(name, attempt, run, how)
+        else:
+            self.after(
+                run.step.estimate_s * self.rng.uniform(0.5, 1.5),
+                lambda: worker.end(key, how),
+            )
+
+    def _members(self, name, attempt):
+        stem = name.rsplit(".", 1)[0]
+        return [
+            (w, k)
+            for w in self.workers.values()
+            for k in w.running
+            if k[0].rsplit(".", 1)[0] == stem and k[1] == attempt
+        ]
+
+    def _start_gang(self, name, attempt, run, how):
+        members = self._members(name, attempt)
+        if len(members) < run.step.count:
+            return
+
+        def end():
+            now = self._members(name, attempt)
+            whole = len(now) == run.step.count
+            for i, (worker, key) in enumerate(now):
+                if whole and how == "done":
+                    worker.end(key, "done")
+                else:
+                    worker.end(key, "failed" if whole and i == 0 else "broken")
+
+        self.after(run.step.estimate_s, end)
+
+    def run_ended(self, worker, key, how):
+        if how == "done":
+            self.done.add(key[0])
+
+    def end_noted(self, entry):
+        if entry[3] == "done":
+            self.noted.add(entry[1])
+
+
+class Leader:
+    """The shell of a leader in the simulation; ``frozen`` ones do nothing."""
+
+    def __init__(self, sim, token):
+        self.sim = sim
+        self.token = token
+        self.frozen = False
+        self.dead = False
+        self.core = None
+        self.held = []
+
+    def take_over(self):
+        sim = self.sim
+        fences = {}
+        for part in commits.PARTS:
+            fences[part] = sim.store.put(part, "fence", "main", b"%d" % self.token)
+        cfg = {"lease_s": LEASE_S, "unknown_lease_s": UNKNOWN_LEASE_S}
+        self.core = dispatch.Dispatcher(self.token, fences, cfg, sim.now)
+        infos = [w.info for w in sim.workers.values()]
+        dispatch.workers_seen(self.core, sim.now, infos, complete=True)
+        advising.set_nodes(self.core.advising, ["n0", "n1"])
+        rows = dict(sim.store.rows)
+        for (part, table, key), (value, _) in rows.items():
+            if table == "done":
+                self.core.finished[key] = value.decode()
+        for (part, table, key), (_, version) in rows.items():
+            if table != "jobs":
+                continue
+            spec = sim.specs[key]
+            value, record_version = rows.get((part, "runs", key), (None, 0))
+            if value is None:
+                dispatch.job_seen(self.core, sim.now, spec, version, sim.now)
+            else:
+                record = decode_record(value)
+                dispatch.restore_job(
+                    self.core, spec, version, record, record_version, sim.now, sim.now
+                )
+        self._tick()
+
+    def _tick(self):
+        if self.dead or self.core.fenced_off:
+            return
+        if not self.frozen:
+            self.step()
+        self.sim.after(0.05, self._tick)
+
+    def step(self):
+        core = self.core
+        if self.dead or core.fenced_off:
+            return
+        dispatch.step(core, self.sim.now, self.sim.now)
+        effects, core.effects = core.effects, []
+        for effect in effects:
+            getattr(self, "_" + type(effect).__name__.lower())(effect)
+
+    def _deliver(self, function):
+        """Run what an answer causes; a frozen leader takes it in when it wakes."""
+        if self.dead or self.core.fenced_off:
+            return
+        if self.frozen:
+            self.held.append(function)
+            return
+        function()
+        self.step()
+
+    def thaw(self):
+        """Wake up and take in what has arrived."""
+        self.frozen = False
+        held, self.held = self.held, []
+        for function in held:
+            self._deliver(function)
+
+    def _commit(self, effect):
+        core, sim = self.core, self.sim
+
+        def done(result):
+            self._deliver(
+                lambda: dispatch.commit_answered(core, sim.now, effect.part, result)
+            )
+
+        sim.store.call(effect.part, effect.expected, effect.writes, done)
+
+    def _order(self, worker_id, call, on_done, lost_answer):
+        """Send an order; it may be lost on the way, or be carried out late."""
+        sim = self.sim
+        worker = sim.workers[worker_id]
+        late = sim.rng.random() < worker.late
+        if worker.silent:
+            sim.after(CALL_LIMIT_S, lambda: on_done(lost_answer))
+        elif late:
+            sim.after(sim.rng.uniform(*LATE_S), call)
+            sim.after(CALL_LIMIT_S, lambda: on_done(lost_answer))
+        else:
+            way = sim.rng.uniform(0.002, 0.02)
+
+            def arrive():
+                answer = call()
+                sim.after(way, lambda: on_done(answer))
+
+            sim.after(way, arrive)
+
+    def _start(self, effect):
+        worker = self.sim.workers[effect.run.worker]
+
+        def done(answer):
+            self._deliver(
+                lambda: dispatch_runs.start_answered(
+                    self.core, self.sim.now, effect.run, answer
+                )
+            )
+
+        token = self.token
+        call = lambda: worker.start(effect, token)  # noqa: E731
+        self._order(effect.run.worker, call, done, "unknown")
+
+    def _stop(self, effect):
+        worker = self.sim.workers[effect.worker]
+
+        def done(answer):
+            self._deliver(
+                lambda: dispatch_runs.stop_answered(
+                    self.core,
+                    self.sim.now,
+                    effect.worker,
+                    effect.name,
+                    effect.attempt,
+                    answer,
+                )
+            )
+
+        token = self.token
+        call = lambda: worker.stop(effect, token)  # noqa: E731
+        self._order(effect.worker, call, done, False)
+
+    def _look(self, effect):
+        worker = self.sim.workers[effect.worker]
+        sent_at = self.sim.now
+
+        def done(report):
+            if report == "fence":
+                self.core.fenced_off = True
+                return
+            self._deliver(
+                lambda: dispatch_runs.look_answered(
+                    self.core, self.sim.now, effect.worker, sent_at, report
+                )
+            )
+
+        token = self.token
+        call = lambda: worker.look(effect, token)  # noqa: E731
+        self._order(effect.worker, call, done, None)
+
+    def _askadvice(self, effect):
+        sim = self.sim
+        approved = [
+            (w, f"t{w}")
+            for w in effect.workers
+            if random.Random(f"{effect.step_name}{w}").random() < sim.approved_share
+        ]
+
+        def done():
+            self._deliver(
+                lambda: dispatch.advice_answered(
+                    self.core, sim.now, effect.call_id, approved
+                )
+            )
+
+        sim.after(0.05, done)
+
+    def _tell(self, effect):
+        effect.reply(effect.value)
+
+
+def make_worker(worker_id, cpu=8_000, rack="r0", born=1, **fields):
+    """Return a WorkerInfo."""
+    values = {
+        "id": worker_id,
+        "service": "svc",
+        "address": f"addr-{worker_id}",
+        "failure_domain": "d0",
+        "rack": rack,
+        "labels": ("a", rack),
+        "cpu": cpu,
+        "memory_mb": 65_536,
+        "accelerators": 0,
+        "draining": False,
+        "leaves_in_s": 0.0,
+        "born": born,
+        "clock_s": 100.0,
+    }
+    return WorkerInfo(**(values | fields))
+
+
+def steps_of(*counts, cpu=1_000, estimate_s=0.8, **fields):
+    """Return a chain of steps with these numbers of tasks."""
+    return [
+        StepSpec(count, cpu, 100, 0, estimate_s, after=(i - 1,) if i else (), **fields)
+        for i, count in enumerate(counts)
+    ]
+
+
+ADVISED = Queue("q", "svc", 1, 4, 2.0, 1.0, AdvicePolicy(0.05, 0.001, 2.5))
+__all__ = ["ADVISED", "DONE", "Sim", "make_worker", "steps_of"]
