Store jobs through a peer; yield leadership that cannot renew

Change: a node that cannot reach the store lets the leader or a peer store the job (the insert is conditional, so it may be repeated); it asks for no callers; refusals carry Retry-After from the outage so far. A leader that was refused two renewals says so, and a node that reaches the store takes over at once. Ruled out: answering 503 after an insert whose answer was lost; giving leadership up without a peer that reaches the store.

--- a/cornelward/http_call.py
+++ b/cornelward/http_call.py
@@ -52,7 +52,7 @@
         """Send ``value`` as a JSON answer."""
         self.answer(status, msgspec.json.encode(value), JSON, headers)
 
-    def refuse(self, exc, status=None, **details):
+    def refuse(self, exc, status=None, headers=(), **details):
         """Send a CornelwardError as a JSON refusal."""
         retry_after_ms = getattr(exc, "retry_after_ms", None)
         self.answer(
@@ -65,5 +65,5 @@
                 **details,
             ),
             JSON,
-            (("X-Verdict", str(exc.verdict)),) if exc.verdict else (),
+            (*headers, ("X-Verdict", str(exc.verdict))) if exc.verdict else headers,
         )
--- a/cornelward/leadership.py
+++ b/cornelward/leadership.py
@@ -20,14 +20,16 @@
     "resign",
     "resigned_heard",
     "row_read",
+    "store_age_s",
     "tick",
 ]
 
 RENEW_S = 0.5
 # Beats come twice a second; two may be lost.
 BEAT_LOST_S = 1.3
-# A leader that has not reached the store for this long may be replaced.
-STORE_AGE_S = 1.5
+# A leader that has not reached the store for this long may be replaced at once by a
+# node that reaches it: renewals come twice a second, and a slow store takes some 0.5 s.
+STORE_AGE_S = 1.4
 POLL_S = 0.4
 # A row that nobody renewed for this long may be claimed.
 LEASE_S = 1.8
@@ -83,6 +85,8 @@
         self.busy = False
         self.asked_at = None
         self.renewed_at = None
+        # Renewals in a row that the store refused to do.
+        self.refusals = 0
         self.leaving = False
 
 
@@ -165,6 +169,9 @@
     if row.node == state.node:
         # Left by an earlier life of this node, or a claim whose answer was lost.
         return True
+    if now - state.heard_at < BEAT_LOST_S and state.store_age_s >= STORE_AGE_S:
+        # The leader says itself that it cannot renew.
+        return True
     return now - state.changed_at >= LEASE_S + state.jitter_s
 
 
@@ -182,10 +189,14 @@
 
 
 def renewal_answered(state, now, renewal, outcome, version):
-    """Take in ``ok``, ``lost`` or ``failed``; returns whether this node still leads."""
+    """Take in ``ok``, ``lost``, ``refused`` or ``failed``.
+
+    Returns whether this node still leads.
+    """
     state.busy = False
     if state.role != LEADER:
         return False
+    state.refusals = state.refusals + 1 if outcome == "refused" else 0
     if outcome == "ok":
         state.row, state.version, state.renewed_at = renewal.row, version, now
     elif outcome == "lost":
@@ -194,6 +205,18 @@
     return True
 
 
+# Refused renewals in a row after which a leader says that it cannot renew.
+REFUSALS_TO_YIELD = 2
+
+
+def store_age_s(state, now):
+    """Return how long ago the leader renewed its row, as told in beats."""
+    age_s = now - state.renewed_at
+    if state.refusals >= REFUSALS_TO_YIELD:
+        return max(age_s, STORE_AGE_S)
+    return age_s
+
+
 def step_down(state, now):
     """Follow again, after a successor was seen."""
     state.role = FOLLOWER
--- a/cornelward/messages.py
+++ b/cornelward/messages.py
@@ -19,6 +19,8 @@
     "Envelope",
     "Heartbeat",
     "HeartbeatAck",
+    "InsertReply",
+    "InsertRequest",
     "JobAccepted",
     "JobNotice",
     "LeaderBeat",
@@ -139,6 +141,8 @@
     token: int
     store_age_s: float
     pending: dict[str, int]
+    # Addresses of all nodes, for those that cannot reach the store themselves.
+    nodes: tuple[str, ...] = ()
 
 
 class LeaderHello(NamedTuple):
@@ -160,6 +164,21 @@
     spec: bytes
 
 
+class InsertRequest(NamedTuple):
+    """Asks a node to store a job for one that cannot reach the store."""
+
+    number: int
+    address: str
+    spec: bytes
+
+
+class InsertReply(NamedTuple):
+    """``accepted``, ``refused`` (nothing was done) or ``unknown``."""
+
+    number: int
+    outcome: str
+
+
 class StateRequest(NamedTuple):
     """Asks for the state of a job; ``address`` is where the reply goes."""
 
@@ -227,6 +246,8 @@
         ConfigRequest,
         Heartbeat,
         HeartbeatAck,
+        InsertReply,
+        InsertRequest,
         JobAccepted,
         JobNotice,
         LeaderBeat,
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -14,6 +14,8 @@
     AdviceRequest,
     CancelReply,
     CancelRequest,
+    InsertReply,
+    InsertRequest,
     JobAccepted,
     LeaderBeat,
     LeaderHello,
@@ -35,6 +37,8 @@
 # Left of the platform's grace time at the end.
 EXIT_MARGIN_S = 0.7
 LEADER_KEY = ("leader", "main")
+# A node that cannot reach the store for this long asks for no more callers.
+UNREADY_AFTER_S = 1.0
 
 
 def clock():
@@ -57,6 +61,7 @@
         self.leadership = leadership.Leadership(
             settings.node, incarnation, self.address, clock(), rng
         )
+        self.health = parts.health
         self.config = None
         self.leader = None
         self.intake = node_jobs.Intake()
@@ -75,7 +80,9 @@
 
 def is_ready(node):
     """Return whether callers should be sent here."""
-    return node.config is not None and node.stopping_at is None
+    if node.config is None or node.stopping_at is not None:
+        return False
+    return node.health.failing_s(clock()) < UNREADY_AFTER_S
 
 
 # Configuration
@@ -183,7 +190,9 @@
 def _renew(node, effect):
     def done(result):
         outcome, version = "failed", None
-        if isinstance(result, Applied):
+        if isinstance(result, Refused):
+            outcome = "refused"
+        elif isinstance(result, Applied):
             outcome, version = "ok", result.version
         elif isinstance(result, Rows):
             value, found = result.rows.get(LEADER_KEY, (None, 0))
@@ -232,11 +241,14 @@
 
 def _on_beat(node, envelope, beat):
     state = node.leadership
+    if node.leader is not None and beat.token > node.leader.token:
+        lose_leadership(node, "another node leads with a later token")
     if not leadership.beat_heard(
         state, clock(), beat.address, beat.store_age_s, beat.token
     ):
         return
     node_jobs.note_pending(node, beat.pending)
+    node.intake.peers = [a for a in beat.nodes if a != node.address]
     node.peers.send(beat.address, LeaderHello(node.address))
 
 
@@ -255,6 +267,13 @@
         node_leader.job_accepted(node, message.spec, message.version)
 
 
+def _on_insert_request(node, envelope, message):
+    def done(outcome):
+        node.peers.send(message.address, InsertReply(message.number, outcome))
+
+    node_jobs.insert_for_peer(node, message.spec, done)
+
+
 def _on_state_request(node, envelope, message):
     state = node_leader.state_of(node, message.job_id) if node.leader else None
     node.peers.send(message.address, StateReply(message.number, state))
@@ -291,6 +310,8 @@
     LeaderBeat: _on_beat,
     LeaderHello: _on_hello,
     LeaderResigned: _on_resigned,
+    InsertRequest: _on_insert_request,
+    InsertReply: _on_reply,
     JobAccepted: _on_accepted,
     StateRequest: _on_state_request,
     StateReply: _on_reply,
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -4,6 +4,8 @@
 job in memory; without a leader the store is read.
 """
 
+from typing import NamedTuple
+
 from . import commits
 from .commits import Applied, Refused, Rows, Unknown
 from .dispatch_effects import RowWrite
@@ -14,20 +16,29 @@
     RequestError,
 )
 from .log import get_logger
-from .messages import CancelRequest, JobAccepted, StateRequest
+from .messages import CancelRequest, InsertRequest, JobAccepted, StateRequest
 from .staged_jobs import (
     CANCELLED,
     COMPLETED,
     FAILED,
     QUEUED,
     RUNNING,
+    JobSpec,
     decode_record,
     decode_spec,
     encode_spec,
 )
 from .verdicts import Verdict
 
-__all__ = ["Intake", "handle", "is_busy", "note_pending", "reply_arrived", "tick"]
+__all__ = [
+    "Intake",
+    "handle",
+    "insert_for_peer",
+    "is_busy",
+    "note_pending",
+    "reply_arrived",
+    "tick",
+]
 
 log = get_logger("jobs")
 
@@ -37,13 +48,19 @@
 # An answer must still travel to the caller.
 ANSWER_MARGIN_S = 0.15
 INSERT_RETRY_S = 0.1
-# A refusal of the store is passed on after this: the caller reaches another node sooner.
-REFUSE_AFTER_S = 0.35
+# A peer tries for half of this.
+PEER_ANSWER_S = 1.0
+# A leader that reached the store this lately is asked first.
+PEER_STORE_AGE_S = 0.8
+# Outcomes of an insert.
+ACCEPTED, REFUSED, UNKNOWN = "accepted", "refused", "unknown"
 LEADER_ANSWER_S = 0.35
 CANCEL_ANSWER_S = 1.2
 # Counts of waiting jobs are given out while they are younger than this.
 PENDING_AGE_S = 1.8
-RETRY_AFTER_S = 1
+# An outage is expected to last as long again as it has lasted, within these.
+RETRY_AFTER_MIN_S = 1
+RETRY_AFTER_MAX_S = 4
 
 
 class Intake:
@@ -56,6 +73,8 @@
         self.pending = {}
         self.pending_at = None
         self.final = {}
+        # Addresses of the other nodes.
+        self.peers = []
 
 
 def now_of(node):
@@ -71,7 +90,7 @@
     req = call.request
     target = node.parts.find_target(node.config, req.headers.get("host", ""), req.path)
     if target is None:
-        refuse(call, 404, NOT_FOUND, "no such queue", retry=False)
+        refuse(call, 404, NOT_FOUND, "no such queue", retry_s=0)
     elif not target.job_id:
         _show_pending(node, call, target)
     elif req.method == "POST":
@@ -81,15 +100,24 @@
     elif req.method == "DELETE":
         _cancel(node, call, target.job_id)
     else:
-        refuse(call, 405, BAD_REQUEST, "method not allowed", retry=False)
+        refuse(call, 405, BAD_REQUEST, "method not allowed", retry_s=0)
 
 
-def refuse(call, status, code, message, retry=True, verdict=Verdict.NOT_RUN):
+def refuse(
+    call, status, code, message, verdict=Verdict.NOT_RUN, retry_s=RETRY_AFTER_MIN_S
+):
     """Answer with an error; the Retry-After header tells when to come back."""
-    exc = RequestError(code, message, verdict)
-    if retry:
-        exc.retry_after_ms = RETRY_AFTER_S * 1000
-    call.refuse(exc, status)
+    exc = RequestError(code, message, verdict, int(retry_s * 1000) or None)
+    headers = (("Retry-After", str(retry_s)),) if retry_s else ()
+    call.refuse(exc, status, headers)
+
+
+def refuse_store(node, call):
+    """Answer that the store is not available, with the time to come back."""
+    failing_s = node.health.failing_s(now_of(node))
+    retry_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, round(failing_s)))
+    text = "the store is not available"
+    refuse(call, 503, PLATFORM_UNAVAILABLE, text, retry_s=retry_s)
 
 
 def _deadline_s(call):
@@ -103,55 +131,127 @@
 def _submit(node, call, target):
     spec, problem = node.parts.decode_job(target, call.request.body)
     if spec is None:
-        refuse(call, 400, BAD_REQUEST, problem, retry=False)
+        refuse(call, 400, BAD_REQUEST, problem, retry_s=0)
         return
     now = now_of(node)
     spec = spec._replace(accepted_at=node.store.clock(now) or 0.0)
-    until = now + _deadline_s(call) - ANSWER_MARGIN_S
-    _insert(node, call, spec, encode_spec(spec), now, until, False)
+    submission = Submission(
+        spec, encode_spec(spec), now, now + _deadline_s(call) - ANSWER_MARGIN_S
+    )
 
+    def done(outcome):
+        _answer_submit(node, call, spec, outcome)
 
-def _insert(node, call, spec, value, begun, until, uncertain):
-    """Store the job; ``uncertain`` once an earlier try may have applied."""
-    part = commits.part_of(spec.id)
-    expected = [("jobs", spec.id, 0), ("done", spec.id, 0)]
+    if node.health.is_failing:
+        _insert_by_peer(node, submission, done)
+    else:
+        _insert(node, submission, done)
 
-    def again(maybe):
-        node.loop.call_later(
-            INSERT_RETRY_S,
-            lambda: _insert(node, call, spec, value, begun, until, maybe),
-        )
+
+def _answer_submit(node, call, spec, outcome):
+    if outcome == ACCEPTED:
+        call.answer_json(200, {"state": QUEUED})
+        return
+    log("warning", "submit_failed", job=spec.id, outcome=outcome)
+    if outcome == REFUSED:
+        refuse_store(node, call)
+    else:
+        # It may or may not be stored; the caller asks again with the same id.
+        text = "the store does not answer"
+        refuse(call, 504, PLATFORM_UNAVAILABLE, text, verdict=Verdict.MAY_HAVE_RUN)
+
+
+class Submission(NamedTuple):
+    """A job on its way into the store; ``uncertain`` once it may be stored."""
+
+    spec: JobSpec
+    value: bytes
+    begun: float
+    until: float
+    uncertain: bool = False
+    # A peer was asked already.
+    by_peer: bool = False
+
+
+def _insert(node, submission, on_outcome):
+    """Store the job; ``on_outcome`` gets ACCEPTED, REFUSED or UNKNOWN."""
+    spec = submission.spec
+    expected = [("jobs", spec.id, 0), ("done", spec.id, 0)]
+    writes = [RowWrite("jobs", spec.id, submission.value)]
 
     def done(result):
         now = now_of(node)
         if isinstance(result, Applied | Rows):
-            _accepted(node, call, spec, value, result)
-        elif now >= until and (uncertain or isinstance(result, Unknown)):
-            # It may or may not be stored; the caller asks again with the same id.
-            log("warning", "submit_unknown", job=spec.id, reason=result.reason)
-            text = "the store does not answer"
-            refuse(call, 504, PLATFORM_UNAVAILABLE, text, verdict=Verdict.MAY_HAVE_RUN)
-        elif isinstance(result, Unknown) or uncertain:
-            again(True)
-        elif now - begun >= REFUSE_AFTER_S:
-            log("warning", "submit_refused", job=spec.id, reason=result.reason)
-            refuse(call, 503, PLATFORM_UNAVAILABLE, "the store is not available")
+            _stored(node, submission, result)
+            on_outcome(ACCEPTED)
+            return
+        uncertain = submission.uncertain or isinstance(result, Unknown)
+        tried = submission._replace(uncertain=uncertain)
+        if now >= submission.until:
+            on_outcome(UNKNOWN if uncertain else REFUSED)
+        elif not submission.by_peer and node.intake.peers:
+            _insert_by_peer(node, tried, on_outcome)
+        elif uncertain:
+            node.loop.call_later(
+                INSERT_RETRY_S, lambda: _insert(node, tried, on_outcome)
+            )
         else:
-            again(False)
+            on_outcome(REFUSED)
+
+    node.store.commit(commits.part_of(spec.id), expected, writes, done)
 
-    node.store.commit(part, expected, [RowWrite("jobs", spec.id, value)], done)
 
+def _insert_by_peer(node, submission, on_outcome):
+    """Let another node store the job: the store may turn only some nodes away."""
+    tried = submission._replace(by_peer=True)
+    peers = node.intake.peers
+    leader = node.leadership.leader_address
+    if leader in peers and node.leadership.store_age_s < PEER_STORE_AGE_S:
+        address = leader
+    elif peers:
+        address = node.rng.choice(peers)
+    else:
+        on_outcome(UNKNOWN if tried.uncertain else REFUSED)
+        return
+
+    def replied(outcome):
+        if outcome == ACCEPTED or (outcome == REFUSED and not tried.uncertain):
+            on_outcome(outcome)
+        else:
+            # The insert names the absence of the job, so it may be repeated.
+            _insert(node, tried._replace(uncertain=True), on_outcome)
+
+    limit_s = min(PEER_ANSWER_S, max(0.1, tried.until - now_of(node)))
+    _ask(
+        node,
+        address,
+        lambda number: InsertRequest(number, node.address, tried.value),
+        limit_s,
+        replied,
+    )
+
+
+def insert_for_peer(node, value, on_outcome):
+    """Store a job for a node that cannot reach the store."""
+    spec = decode_spec(value)
+    if spec is None or node.health.is_failing:
+        on_outcome(REFUSED)
+        return
+    now = now_of(node)
+    submission = Submission(spec, value, now, now + PEER_ANSWER_S / 2, by_peer=True)
+    _insert(node, submission, on_outcome)
 
-def _accepted(node, call, spec, value, result):
-    call.answer_json(200, {"state": QUEUED})
+
+def _stored(node, submission, result):
+    spec = submission.spec
     if isinstance(result, Rows):
         log("info", "submit_repeated", job=spec.id)
         return
     log("info", "accepted", job=spec.id, queue=spec.queue.name)
     if node.leader is not None:
-        node.parts.leader_accepts(node, value, result.version)
+        node.parts.leader_accepts(node, submission.value, result.version)
     elif node.leadership.leader_address:
-        message = JobAccepted(result.version, value)
+        message = JobAccepted(result.version, submission.value)
         node.peers.send(node.leadership.leader_address, message)
 
 
@@ -160,11 +260,16 @@
 
 def _ask_leader(node, make, limit_s, on_reply):
     """Ask the leader; ``on_reply(None)`` if it does not know or answer."""
-    intake = node.intake
     address = node.leadership.leader_address
-    if not address:
+    if address:
+        _ask(node, address, make, limit_s, on_reply)
+    else:
         on_reply(None)
-        return
+
+
+def _ask(node, address, make, limit_s, on_reply):
+    """Send the question ``make(number)``; ``on_reply(None)`` after ``limit_s``."""
+    intake = node.intake
     intake.number += 1
     number = intake.number
     intake.questions[number] = (on_reply, now_of(node) + limit_s)
@@ -219,10 +324,9 @@
 
 def _answer_state(node, call, job_id, state):
     if state is None:
-        text = "the store is not available"
-        refuse(call, 503, PLATFORM_UNAVAILABLE, text)
+        refuse_store(node, call)
     elif state == "":
-        refuse(call, 410, NOT_FOUND, "no such job", retry=False)
+        refuse(call, 410, NOT_FOUND, "no such job", retry_s=0)
     else:
         if state in FINAL:
             node.intake.final[job_id] = state
@@ -268,7 +372,7 @@
             log("info", "cancelled", job=job_id)
             call.answer_json(200, {"state": CANCELLED})
         elif cancelled is False:
-            refuse(call, 410, NOT_FOUND, "the job is over", retry=False)
+            refuse(call, 410, NOT_FOUND, "the job is over", retry_s=0)
         else:
             _cancel_in_store(node, call, job_id)
 
@@ -291,7 +395,7 @@
         if isinstance(result, Applied):
             call.answer_json(200, {"state": CANCELLED})
         elif isinstance(result, Rows):
-            refuse(call, 410, NOT_FOUND, "the job is over", retry=False)
+            refuse(call, 410, NOT_FOUND, "the job is over", retry_s=0)
         else:
             # An unknown outcome is safe: the caller cancels again.
             log("warning", "cancel_failed", job=job_id, reason=result.reason)
@@ -305,7 +409,7 @@
         rows = {row.key: row for row in listing.rows}
         row = rows.get(job_id)
         if row is None or decode_spec(row.value) is None:
-            refuse(call, 410, NOT_FOUND, "no such job", retry=False)
+            refuse(call, 410, NOT_FOUND, "no such job", retry_s=0)
             return
         expected = [("jobs", job_id, row.version)]
         writes = [RowWrite("jobs", job_id + ".cancel", b"1")]
@@ -325,7 +429,7 @@
 
 def _show_pending(node, call, target):
     if call.request.method != "GET":
-        refuse(call, 405, BAD_REQUEST, "method not allowed", retry=False)
+        refuse(call, 405, BAD_REQUEST, "method not allowed", retry_s=0)
         return
     counts, at = node.intake.pending, node.intake.pending_at
     if at is None or now_of(node) - at > PENDING_AGE_S:
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -2,7 +2,7 @@
 
 import time
 
-from . import advising, commits, dispatch, dispatch_runs, staged_jobs
+from . import advising, commits, dispatch, dispatch_runs, leadership
 from .commits import Applied, Refused, Rows, Unknown
 from .dispatch_effects import RowWrite
 from .log import get_logger
@@ -94,15 +94,14 @@
             _retry(node, part, again)
             return
         row = next((r for r in listing.rows if r.key == "main"), None)
-        if row is not None and row.value is not None:
-            token = int(row.value)
-            if token > part.token:
-                node.parts.lose_leadership(node, "a later leader has set its fence")
-                return
-            if token == part.token:
-                # Our own write, whose answer was lost.
-                _list_part(node, part, name, lambda rows: on_done(row.version, rows))
-                return
+        token = int(row.value) if row is not None else 0
+        if token > part.token:
+            node.parts.lose_leadership(node, "a later leader has set its fence")
+            return
+        if token == part.token:
+            # Our own write, whose answer was lost.
+            _list_part(node, part, name, lambda rows: on_done(row.version, rows))
+            return
         expected = [("fence", "main", row.version if row else 0)]
         writes = [RowWrite("fence", "main", value)]
         node.store.commit(name, expected, writes, written)
@@ -421,8 +420,10 @@
     advising.set_nodes(part.core.advising, part.nodes)
     pending = dispatch.pending_by_queue(part.core)
     node.parts.note_pending(node, pending)
-    renewed_at = node.leadership.renewed_at
-    beat = LeaderBeat(node.address, part.token, now - renewed_at, pending)
+    addresses = [address for address, _ in part.nodes.values()]
+    node.intake.peers = [a for a in addresses if a != node.address]
+    store_age_s = leadership.store_age_s(node.leadership, now)
+    beat = LeaderBeat(node.address, part.token, store_age_s, pending, tuple(addresses))
     for name, (address, _) in part.nodes.items():
         if name != node.settings.node:
             node.peers.send(address, beat)
@@ -551,6 +552,3 @@
     effect = node.parts.resignation(state)
     node.leader = None
     node.parts.write_leader(node, effect, done)
-
-
-__all__ += ["staged_jobs"]
--- a/cornelward/platform/compose.py
+++ b/cornelward/platform/compose.py
@@ -13,6 +13,7 @@
 from ..loop import Loop
 from ..metrics import new_metrics
 from ..peers import Peers
+from ..store_health import StoreHealth
 from .ingress import decode_config, decode_job, find_target
 from .orders import connect_advice, connect_orders, decode_worker
 from .store import connect_store
@@ -29,6 +30,7 @@
     loop: Loop
     now: Any
     store: Any
+    health: StoreHealth
     peers: Peers
     callers: HttpServer
     orders: Any
@@ -81,10 +83,17 @@
         lambda call: _answer_ready(holder[0], call),
     )
     observe = metrics.observe_platform
+    health = StoreHealth()
+
+    def observe_store(operation, outcome):
+        health.note(shell.clock(), outcome not in ("refused", "unknown"))
+        observe(operation, outcome)
+
     parts = Parts(
         loop=loop,
         now=shell.clock,
-        store=connect_store(client, settings.store_address, shell.clock, observe),
+        store=connect_store(client, settings.store_address, shell.clock, observe_store),
+        health=health,
         peers=peers,
         callers=callers,
         orders=connect_orders(client, observe),
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -239,7 +239,7 @@
         used = sum(step.cpu for step in worker.running.values())
         if used > worker.info.cpu:
             self.broken.append(f"{worker.info.id} holds {used} at {self.now:.2f}")
-        job_id, occurrence, step, _ = name.split(".")
+        job_id, occurrence, _, _ = name.split(".")
         for before in run.step.after:
             count = self.specs[job_id].steps[before].count
             names = {f"{job_id}.{occurrence}.{before}.{i}" for i in range(count)}
@@ -310,7 +310,7 @@
         dispatch.workers_seen(self.core, sim.now, infos, complete=True)
         advising.set_nodes(self.core.advising, ["n0", "n1"])
         rows = dict(sim.store.rows)
-        for (part, table, key), (value, _) in rows.items():
+        for (_, table, key), (value, _) in rows.items():
             if table == "done":
                 self.core.finished[key] = value.decode()
         for (part, table, key), (_, version) in rows.items():
