Elect one successor of a leader that cannot renew

Every node had heard that the old leader could not renew and replaced whoever had just taken over; and the old leader noticed only after 1.4 s. Change: the report counts only for the row with the token that sent it; a new row gets time for its first beat; a leader that the store refuses for 0.25 s says so at once. Ruled out: yielding on lost answers (a store that loses 30% still works).

--- a/cornelward/leadership.py
+++ b/cornelward/leadership.py
@@ -9,6 +9,7 @@
 import msgspec
 
 __all__ = [
+    "STORE_AGE_S",
     "ClaimLeadership",
     "LeaderRow",
     "Leadership",
@@ -20,7 +21,6 @@
     "resign",
     "resigned_heard",
     "row_read",
-    "store_age_s",
     "tick",
 ]
 
@@ -78,6 +78,7 @@
         self.jitter_s = rng.random() * JITTER_S
         self.heard_at = now - BEAT_LOST_S
         self.store_age_s = 0.0
+        self.beat_token = None
         self.leader_address = None
         self.row = None
         self.version = None
@@ -85,8 +86,6 @@
         self.busy = False
         self.asked_at = None
         self.renewed_at = None
-        # Renewals in a row that the store refused to do.
-        self.refusals = 0
         self.leaving = False
 
 
@@ -112,6 +111,7 @@
         return False
     state.heard_at = now
     state.store_age_s = store_age_s
+    state.beat_token = token
     state.leader_address = address
     return True
 
@@ -151,9 +151,11 @@
     value, version = found
     row = decode_row(value) if value is not None else None
     if version != state.version:
-        state.row, state.version, state.changed_at = row, version, now
-        if row is not None and row.node:
+        if row is not None and row.node and row.token != state.beat_token:
+            # A leader that was not heard yet gets time for its first beat.
+            state.heard_at, state.store_age_s = now, 0.0
             state.leader_address = row.address
+        state.row, state.version, state.changed_at = row, version, now
     if state.leaving or not _may_claim(state, now, row):
         return []
     token = row.token + 1 if row is not None else 1
@@ -169,7 +171,7 @@
     if row.node == state.node:
         # Left by an earlier life of this node, or a claim whose answer was lost.
         return True
-    if now - state.heard_at < BEAT_LOST_S and state.store_age_s >= STORE_AGE_S:
+    if row.token == state.beat_token and state.store_age_s >= STORE_AGE_S:
         # The leader says itself that it cannot renew.
         return True
     return now - state.changed_at >= LEASE_S + state.jitter_s
@@ -189,14 +191,10 @@
 
 
 def renewal_answered(state, now, renewal, outcome, version):
-    """Take in ``ok``, ``lost``, ``refused`` or ``failed``.
-
-    Returns whether this node still leads.
-    """
+    """Take in ``ok``, ``lost`` or ``failed``; returns whether this node still leads."""
     state.busy = False
     if state.role != LEADER:
         return False
-    state.refusals = state.refusals + 1 if outcome == "refused" else 0
     if outcome == "ok":
         state.row, state.version, state.renewed_at = renewal.row, version, now
     elif outcome == "lost":
@@ -205,18 +203,6 @@
     return True
 
 
-# Refused renewals in a row after which a leader says that it cannot renew.
-REFUSALS_TO_YIELD = 2
-
-
-def store_age_s(state, now):
-    """Return how long ago the leader renewed its row, as told in beats."""
-    age_s = now - state.renewed_at
-    if state.refusals >= REFUSALS_TO_YIELD:
-        return max(age_s, STORE_AGE_S)
-    return age_s
-
-
 def step_down(state, now):
     """Follow again, after a successor was seen."""
     state.role = FOLLOWER
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -190,9 +190,7 @@
 def _renew(node, effect):
     def done(result):
         outcome, version = "failed", None
-        if isinstance(result, Refused):
-            outcome = "refused"
-        elif isinstance(result, Applied):
+        if isinstance(result, Applied):
             outcome, version = "ok", result.version
         elif isinstance(result, Rows):
             value, found = result.rows.get(LEADER_KEY, (None, 0))
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -41,9 +41,9 @@
         # Node name -> (address, when it was heard last).
         self.nodes = {}
         self.beat_at = None
+        self.yielding = False
         self.step_asked = False
         self.store_ok_at = now
-        self.pending_rows = {}
 
 
 def take_over(node, token):
@@ -406,7 +406,13 @@
     if part.core is None or part.closed:
         return
     now = node.parts.now()
-    if part.beat_at is None or now - part.beat_at >= BEAT_S:
+    yielding = node.health.is_refused(now)
+    if yielding and not part.yielding:
+        log("warning", "store_refuses", failing_s=round(node.health.failing_s(now), 2))
+    beat_due = part.beat_at is None or now - part.beat_at >= BEAT_S
+    if beat_due or yielding != part.yielding:
+        # A node that reaches the store takes over as soon as it hears of it.
+        part.yielding = yielding
         _beat(node, part, now)
     run_step(node, part)
 
@@ -422,7 +428,9 @@
     node.parts.note_pending(node, pending)
     addresses = [address for address, _ in part.nodes.values()]
     node.intake.peers = [a for a in addresses if a != node.address]
-    store_age_s = leadership.store_age_s(node.leadership, now)
+    store_age_s = now - node.leadership.renewed_at
+    if part.yielding:
+        store_age_s = max(store_age_s, leadership.STORE_AGE_S)
     beat = LeaderBeat(node.address, part.token, store_age_s, pending, tuple(addresses))
     for name, (address, _) in part.nodes.items():
         if name != node.settings.node:
--- a/cornelward/platform/compose.py
+++ b/cornelward/platform/compose.py
@@ -86,7 +86,7 @@
     health = StoreHealth()
 
     def observe_store(operation, outcome):
-        health.note(shell.clock(), outcome not in ("refused", "unknown"))
+        health.note(shell.clock(), outcome)
         observe(operation, outcome)
 
     parts = Parts(
--- a/cornelward/store_health.py
+++ b/cornelward/store_health.py
@@ -4,6 +4,9 @@
 
 # A single lost answer is no outage.
 FAILURES = 2
+# A store over its rate refuses single calls; being turned away is more than that.
+REFUSALS = 3
+REFUSED_S = 0.25
 
 
 class StoreHealth:
@@ -11,15 +14,18 @@
 
     def __init__(self):
         self.failures = 0
+        self.refusals = 0
         self.failing_since = None
 
-    def note(self, now, reached):
-        """Take in the outcome of a call."""
-        if reached:
-            self.failures = 0
+    def note(self, now, outcome):
+        """Take in the outcome of a call: ``refused``, ``unknown`` or an answer."""
+        if outcome not in ("refused", "unknown"):
+            self.failures = self.refusals = 0
             self.failing_since = None
             return
         self.failures += 1
+        # A store that loses answers still works; one that refuses does not.
+        self.refusals = self.refusals + 1 if outcome == "refused" else 0
         if self.failing_since is None:
             self.failing_since = now
 
@@ -31,3 +37,8 @@
     def failing_s(self, now):
         """Return for how long calls have failed; 0.0 while they do not."""
         return now - self.failing_since if self.is_failing else 0.0
+
+    def is_refused(self, now):
+        """Return whether the store has turned this process away for a while."""
+        failing_s = self.failing_s(now)
+        return self.refusals >= REFUSALS and failing_s >= REFUSED_S
--- /dev/null
+++ b/tests/test_leadership.py
@@ -0,0 +1,100 @@
+"""Who leads: guards against nobody leading for long, and against leaders in turns."""
+
+import random
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength, Is, LessThan
+
+from cornelward import leadership
+from cornelward.leadership import (
+    BEAT_LOST_S,
+    LEASE_S,
+    STORE_AGE_S,
+    ClaimLeadership,
+    LeaderRow,
+    Leadership,
+    encode_row,
+)
+
+
+@pytest.fixture
+def follower():
+    return Leadership("n1", 5, "10.0.0.1:1", 0.0, random.Random(1))
+
+
+def row(token=3, node="n0", renewals=0):
+    return encode_row(LeaderRow(node, 1, "10.0.0.9:1", token, renewals))
+
+
+def test_absent_row_is_claimed_at_once(follower):
+    assert_that(leadership.tick(follower, 0.0), HasLength(1))
+    effects = leadership.row_read(follower, 0.1, (None, 0))
+    assert_that(effects[0].row.token, Equals(1))
+
+
+def test_resigned_row_is_claimed_at_once(follower):
+    effects = leadership.row_read(follower, 0.1, (row(node=""), 7))
+    assert_that(effects[0], Equals(ClaimLeadership(effects[0].row, 7)))
+    assert_that(effects[0].row.token, Equals(4))
+
+
+def test_row_of_an_earlier_life_is_claimed_at_once(follower):
+    assert_that(leadership.row_read(follower, 0.1, (row(node="n1"), 7)), HasLength(1))
+
+
+def test_unrenewed_row_is_claimed_after_the_lease(follower):
+    assert_that(leadership.row_read(follower, 0.0, (row(), 7)), Equals([]))
+    assert_that(leadership.row_read(follower, LEASE_S - 0.1, (row(), 7)), Equals([]))
+    late = LEASE_S + leadership.JITTER_S
+    assert_that(leadership.row_read(follower, late, (row(), 7)), HasLength(1))
+
+
+def test_renewed_row_is_left_alone(follower):
+    now = 0.0
+    for version in range(7, 20):
+        found = (row(renewals=version), version)
+        assert_that(leadership.row_read(follower, now, found), Equals([]))
+        now += 1.0
+
+
+def test_leader_that_cannot_renew_is_replaced_at_once(follower):
+    leadership.beat_heard(follower, 1.0, "10.0.0.9:1", STORE_AGE_S, 3)
+    assert_that(leadership.tick(follower, 1.1), HasLength(1))
+    assert_that(leadership.row_read(follower, 1.2, (row(), 7)), HasLength(1))
+
+
+def test_successor_of_a_leader_that_cannot_renew_is_left_alone(follower):
+    # Every node hears the beats of the former leader; the second to read the row
+    # must not replace the first (leaders in turns in shahidi-ops trouble-1).
+    leadership.beat_heard(follower, 1.0, "10.0.0.9:1", STORE_AGE_S, 3)
+    successor = (row(token=4, node="n2"), 8)
+    assert_that(leadership.row_read(follower, 1.1, successor), Equals([]))
+    heard = leadership.beat_heard(follower, 1.2, "10.0.0.9:1", STORE_AGE_S, 3)
+    assert_that(heard, Is(False))
+    assert_that(leadership.tick(follower, 1.3), Equals([]))
+    assert_that(leadership.row_read(follower, 1.4, successor), Equals([]))
+
+
+def test_beats_keep_a_follower_from_polling(follower):
+    for i in range(20):
+        now = i * 0.5
+        leadership.beat_heard(follower, now, "10.0.0.9:1", 0.3, 3)
+        assert_that(leadership.tick(follower, now + 0.4), Equals([]))
+    assert_that(BEAT_LOST_S, LessThan(LEASE_S))
+
+
+def test_claim_that_lost_follows_again(follower):
+    effects = leadership.row_read(follower, 0.1, (None, 0))
+    won = leadership.claim_answered(follower, 0.2, effects[0].row, None)
+    assert_that(won, Is(False))
+    assert_that(follower.role, Equals(leadership.FOLLOWER))
+
+
+def test_leader_whose_row_changed_steps_down(follower):
+    effects = leadership.row_read(follower, 0.1, (None, 0))
+    leadership.claim_answered(follower, 0.2, effects[0].row, 9)
+    renewal = leadership.tick(follower, 1.0)[0]
+    still = leadership.renewal_answered(follower, 1.1, renewal, "lost", 12)
+    assert_that(still, Is(False))
+    assert_that(follower.role, Equals(leadership.FOLLOWER))
--- /dev/null
+++ b/tests/test_store_health.py
@@ -0,0 +1,32 @@
+"""Whether the store is reached: a lost answer is no outage, being turned away is."""
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from cornelward.store_health import StoreHealth
+
+
+def test_single_failure_is_no_outage():
+    health = StoreHealth()
+    health.note(1.0, "unknown")
+    assert_that(health.is_failing, Is(False))
+    assert_that(health.failing_s(5.0), Equals(0.0))
+
+
+def test_outage_lasts_from_its_first_failure_to_the_next_answer():
+    health = StoreHealth()
+    health.note(1.0, "unknown")
+    health.note(2.0, "refused")
+    assert_that(health.failing_s(5.0), Equals(4.0))
+    health.note(6.0, "rows")
+    assert_that(health.is_failing, Is(False))
+
+
+def test_lost_answers_are_not_refusals():
+    health = StoreHealth()
+    for i in range(9):
+        health.note(float(i), "unknown")
+    assert_that(health.is_refused(9.0), Is(False))
+    for i in range(9, 12):
+        health.note(float(i), "refused")
+    assert_that(health.is_refused(12.0), Is(True))
