Let the lease of a silent worker run out

Each look without an answer moved the end of the lease on, as it might have been carried out. Change: a worker that does not answer is looked at without extending its lease. Ruled out: taking a worker as gone when its registry entry goes; a worker that is cut off is unlisted too and runs on until its lease ends.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -319,8 +319,9 @@
     worker.last_look_at = now
     worker.sent_end = worker.durable_end
     deadline = None
-    # The clock of a worker that has not answered yet is only what the registry said.
-    if worker.answered_at is not None and worker.runs:
+    # Without answers the lease has to run out some time: a look that got none may have
+    # extended it. Before its first answer only the registry told the worker's clock.
+    if worker.answered_at is not None and worker.runs and not worker.look_failed:
         deadline = table.extend_lease(worker, now, state.cfg["lease_s"])
     waits = worker.runs and not worker.open_ends and worker.answered_at is not None
     wait_s = LOOK_WAIT_S if waits and not worker.look_failed else 0.0
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -231,6 +231,7 @@
         """Check a start, then let the run end by itself."""
         name, attempt = key
         for other in self.workers.values():
+            other._sweep()
             same = [k for k in other.running if k[0] == name]
             if [k for k in same if (other, k) != (worker, key)]:
                 self.broken.append(f"{name} runs twice at {self.now:.2f}")
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -99,6 +99,37 @@
     assert_all_done(sim)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_workers_that_never_answer_again(seed):
+    # rsl-cornelward mix --seed 372350576025: looks without an answer moved the end of
+    # the lease on for ever, so that the tasks of a crashed worker never ran again.
+    sim = Sim(seed)
+    sim.lead()
+    submit_mix(sim, seconds=2.0)
+    sim.run(2.2)
+    for worker in sim.rng.sample(list(sim.workers.values()), 2):
+        worker.silent = True
+    sim.run(45)
+    assert_all_done(sim)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_unreachable_worker_keeps_its_tasks_until_its_lease_is_over(seed):
+    sim = Sim(seed, workers=2, cpu=4_000)
+    sim.lead()
+    sim.submit("a" * 16, steps_of(6, estimate_s=30.0))
+    sim.run(1.0)
+    sim.workers["w0"].silent = True
+    sim.run(sim.rng.uniform(0.1, 3.0))
+    # The former leader dies; its lease on w0 is not known to the next one.
+    sim.leader.dead = True
+    sim.run(1.0)
+    sim.submit("b" * 16, steps_of(2))
+    sim.lead()
+    sim.run(60)
+    assert_that(sim.broken, Equals([]))
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_lost_and_late_answers_of_the_store(seed):
     sim = Sim(seed)
