Store accepted jobs in groups through the leader

Six nodes inserting job by job, giving up after 1 s and trying again, filled every queue; all submissions failed for six seconds and 151 applied after it. The leader's records stood in the same queues. Change: nodes let the leader insert; it puts all jobs that wait into one transaction a partition. Time limits of store calls follow what the last answers took (0.4 to 3 s), so a slow store is not asked twice. Ruled out: more partitions (each has as many writers); longer fixed limits (a store that loses answers would stop a partition for that long).

--- a/cornelward/commits.py
+++ b/cornelward/commits.py
@@ -27,8 +27,9 @@
 
 # Partitions of jobs; the store does 200 transactions a second in each.
 PARTS = ("p0", "p1", "p2", "p3")
-# A transaction has at most 100 entries; a job that ends takes seven.
-MAX_JOBS = 13
+# A transaction has at most 100 entries; a job takes three, one that ends up to six.
+MAX_ENTRIES = 100
+OPEN_ENTRIES, FINAL_ENTRIES = 3, 6
 # Pause before a transaction that failed is sent again, in seconds.
 RETRY_S = 0.1
 
@@ -99,11 +100,21 @@
         return batch.commit
     if not writer.dirty:
         return None
-    jobs = [writer.dirty.pop(i) for i in list(writer.dirty)[:MAX_JOBS]]
-    writer.batch = _make_batch(writer, jobs)
+    writer.batch = _make_batch(writer, _take(writer))
     return writer.batch.commit
 
 
+def _take(writer):
+    """Return as many changed jobs as fit in a transaction, beside the fence."""
+    jobs, entries = [], 1
+    for job_id in list(writer.dirty):
+        entries += FINAL_ENTRIES if is_final(writer.dirty[job_id]) else OPEN_ENTRIES
+        if entries > MAX_ENTRIES:
+            break
+        jobs.append(writer.dirty.pop(job_id))
+    return jobs
+
+
 def is_final(job):
     """Return whether the job is over and nothing of it is left on a worker."""
     if job.outcome is None:
--- a/cornelward/messages.py
+++ b/cornelward/messages.py
@@ -165,11 +165,12 @@
 
 
 class InsertRequest(NamedTuple):
-    """Asks a node to store a job for one that cannot reach the store."""
+    """Asks a node to store a job, within ``limit_s``."""
 
     number: int
     address: str
     spec: bytes
+    limit_s: float
 
 
 class InsertReply(NamedTuple):
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -269,7 +269,7 @@
     def done(outcome):
         node.peers.send(message.address, InsertReply(message.number, outcome))
 
-    node_jobs.insert_for_peer(node, message.spec, done)
+    node_jobs.insert_for_peer(node, message.spec, message.limit_s, done)
 
 
 def _on_state_request(node, envelope, message):
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -15,6 +15,7 @@
     PLATFORM_UNAVAILABLE,
     RequestError,
 )
+from .inserts import ACCEPTED, REFUSED, UNKNOWN, Insert
 from .log import get_logger
 from .messages import CancelRequest, InsertRequest, JobAccepted, StateRequest
 from .staged_jobs import (
@@ -52,9 +53,9 @@
 PEER_ANSWER_S = 1.0
 # A leader that reached the store this lately is asked first.
 PEER_STORE_AGE_S = 0.8
-# Outcomes of an insert.
-ACCEPTED, REFUSED, UNKNOWN = "accepted", "refused", "unknown"
 LEADER_ANSWER_S = 0.35
+# A leader whose beats stop for this long is not waited for.
+LEADER_SILENT_S = 0.8
 CANCEL_ANSWER_S = 1.2
 # Counts of waiting jobs are given out while they are younger than this.
 PENDING_AGE_S = 1.8
@@ -142,7 +143,10 @@
     def done(outcome):
         _answer_submit(node, call, spec, outcome)
 
-    if node.health.is_failing:
+    if node.leader is not None and node.leader.core is not None:
+        _insert_in_group(node, submission, done)
+    elif node.leadership.leader_address and node.leader is None:
+        # The leader stores the jobs of all nodes together.
         _insert_by_peer(node, submission, done)
     else:
         _insert(node, submission, done)
@@ -202,44 +206,67 @@
 
 
 def _insert_by_peer(node, submission, on_outcome):
-    """Let another node store the job: the store may turn only some nodes away."""
-    tried = submission._replace(by_peer=True)
+    """Let the leader store the job, or a peer if the store turns the leader away."""
     peers = node.intake.peers
     leader = node.leadership.leader_address
-    if leader in peers and node.leadership.store_age_s < PEER_STORE_AGE_S:
-        address = leader
-    elif peers:
-        address = node.rng.choice(peers)
-    else:
-        on_outcome(UNKNOWN if tried.uncertain else REFUSED)
-        return
+    to_leader = leader and (node.leadership.store_age_s < PEER_STORE_AGE_S or not peers)
+    tried = submission._replace(by_peer=True)
+    now = now_of(node)
 
     def replied(outcome):
-        if outcome == ACCEPTED or (outcome == REFUSED and not tried.uncertain):
-            on_outcome(outcome)
+        if outcome == ACCEPTED:
+            on_outcome(ACCEPTED)
+            return
+        uncertain = tried.uncertain or outcome != REFUSED
+        if node.health.is_failing and not uncertain:
+            on_outcome(REFUSED)
+        elif now_of(node) >= tried.until:
+            on_outcome(UNKNOWN if uncertain else REFUSED)
         else:
             # The insert names the absence of the job, so it may be repeated.
-            _insert(node, tried._replace(uncertain=True), on_outcome)
+            _insert(node, tried._replace(uncertain=uncertain), on_outcome)
 
-    limit_s = min(PEER_ANSWER_S, max(0.1, tried.until - now_of(node)))
+    if not to_leader and not peers:
+        replied(REFUSED)
+        return
+    address = leader if to_leader else node.rng.choice(peers)
+    limit_s = tried.until - now if to_leader else PEER_ANSWER_S
     _ask(
         node,
         address,
-        lambda number: InsertRequest(number, node.address, tried.value),
+        lambda number: InsertRequest(number, node.address, tried.value, limit_s),
         limit_s,
         replied,
     )
 
 
-def insert_for_peer(node, value, on_outcome):
-    """Store a job for a node that cannot reach the store."""
+def _insert_in_group(node, submission, on_outcome):
+    """Store the job together with others; only the leader does this."""
+
+    def settled(outcome, version):
+        if outcome == ACCEPTED and version is not None:
+            _stored(node, submission, Applied(version))
+        if outcome == REFUSED and not submission.by_peer and node.intake.peers:
+            _insert_by_peer(node, submission, on_outcome)
+        else:
+            on_outcome(outcome)
+
+    insert = Insert(submission.spec.id, submission.value, submission.until, settled)
+    node.parts.leader_inserts(node, insert)
+
+
+def insert_for_peer(node, value, limit_s, on_outcome):
+    """Store a job for another node."""
     spec = decode_spec(value)
     if spec is None or node.health.is_failing:
         on_outcome(REFUSED)
         return
     now = now_of(node)
-    submission = Submission(spec, value, now, now + PEER_ANSWER_S / 2, by_peer=True)
-    _insert(node, submission, on_outcome)
+    submission = Submission(spec, value, now, now + limit_s, by_peer=True)
+    if node.leader is not None and node.leader.core is not None:
+        _insert_in_group(node, submission, on_outcome)
+    else:
+        _insert(node, submission, on_outcome)
 
 
 def _stored(node, submission, result):
@@ -272,7 +299,7 @@
     intake = node.intake
     intake.number += 1
     number = intake.number
-    intake.questions[number] = (on_reply, now_of(node) + limit_s)
+    intake.questions[number] = (on_reply, now_of(node) + limit_s, address)
     if not node.peers.send(address, make(number)):
         reply_arrived(node, number, None)
 
@@ -285,10 +312,13 @@
 
 
 def tick(node):
-    """Give up questions that the leader did not answer."""
+    """Give up questions that were not answered, or whose leader is gone."""
     now = now_of(node)
-    for number, (_, limit) in list(node.intake.questions.items()):
-        if now >= limit:
+    state = node.leadership
+    silent = now - state.heard_at >= LEADER_SILENT_S
+    for number, (_, limit, address) in list(node.intake.questions.items()):
+        is_peer = address in node.intake.peers and address != state.leader_address
+        if now >= limit or (silent and not is_peer):
             reply_arrived(node, number, None)
 
 
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -2,7 +2,7 @@
 
 import time
 
-from . import advising, commits, dispatch, dispatch_runs, leadership
+from . import advising, commits, dispatch, dispatch_runs, inserts, leadership
 from .commits import Applied, Refused, Rows, Unknown
 from .dispatch_effects import RowWrite
 from .log import get_logger
@@ -40,6 +40,7 @@
         self.begun_at = now
         # Node name -> (address, when it was heard last).
         self.nodes = {}
+        self.inserts = inserts.Inserts()
         self.beat_at = None
         self.yielding = False
         self.step_asked = False
@@ -332,6 +333,37 @@
     ask_step(node)
 
 
+# Inserts
+
+
+def insert(node, request):
+    """Store a job together with others that wait."""
+    inserts.add(node.leader.inserts, request)
+    part = node.leader
+    # What else arrives in this turn of the loop goes into the same transaction.
+    node.loop.call_soon(lambda: _flush_inserts(node, part))
+
+
+def _flush_inserts(node, part):
+    for name, expected, writes in inserts.flush(part.inserts):
+        _send_inserts(node, part, name, expected, writes)
+
+
+def _send_inserts(node, part, name, expected, writes):
+    def done(result):
+        again = inserts.finish(part.inserts, node.parts.now(), name, result)
+        if again:
+            batch = part.inserts.parts[name].batch
+            node.loop.call_later(
+                RETRY_S,
+                lambda: _send_inserts(node, part, name, *inserts.entries(batch)),
+            )
+        else:
+            _flush_inserts(node, part)
+
+    node.store.commit(name, expected, writes, done)
+
+
 # Questions
 
 
--- a/cornelward/platform/compose.py
+++ b/cornelward/platform/compose.py
@@ -40,6 +40,7 @@
     decode_job: Any
     decode_worker: Any
     leader_accepts: Any
+    leader_inserts: Any
     leader_state: Any
     leader_cancels: Any
     note_pending: Any
@@ -103,6 +104,7 @@
         decode_job=decode_job,
         decode_worker=decode_worker,
         leader_accepts=node_leader.job_accepted,
+        leader_inserts=node_leader.insert,
         leader_state=node_leader.state_of,
         leader_cancels=node_leader.cancel,
         note_pending=node_jobs.note_pending,
--- a/cornelward/platform/store.py
+++ b/cornelward/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import collections
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
@@ -11,8 +12,12 @@
 
 __all__ = ["Changes", "HistoryLost", "Listing", "Store", "StoreRow", "connect_store"]
 
-# The store answers in 5 ms; on slow days in 60 times that.
-CALL_TIMEOUT_S = 1.0
+# A call is given up after this many times the longest of the last answers: a store that
+# loses answers must not stop us for long, and one that is slow not be asked twice.
+TIMEOUT_FACTOR = 4
+TIMEOUT_MIN_S = 0.4
+TIMEOUT_MAX_S = 3.0
+ANSWERS_KEPT = 8
 # Beyond the time that the store itself may hold an answer back.
 FEED_TIMEOUT_S = 0.8
 
@@ -66,6 +71,25 @@
     clock: Any
 
 
+class _Patience:
+    """Time limit of calls of one kind, from how long the last ones took."""
+
+    __slots__ = ("limit_s", "taken_s")
+
+    def __init__(self):
+        self.taken_s = collections.deque(maxlen=ANSWERS_KEPT)
+        self.limit_s = 2 * TIMEOUT_MIN_S
+
+    def note(self, taken_s, answered):
+        """Take in how long a call took."""
+        if answered:
+            self.taken_s.append(taken_s)
+            wanted = TIMEOUT_FACTOR * max(self.taken_s)
+            self.limit_s = min(TIMEOUT_MAX_S, max(TIMEOUT_MIN_S, wanted))
+        else:
+            self.limit_s = min(TIMEOUT_MAX_S, 2 * self.limit_s)
+
+
 class _Clock:
     """The last clock value that the store told."""
 
@@ -78,11 +102,18 @@
 def connect_store(client, addr, now, observe):
     """Return the Store at ``addr``; ``observe(operation, outcome)`` hears each call."""
     clock = _Clock()
+    patience = {"commit": _Patience(), "read": _Patience()}
 
     def call(operation, method, path, body, timeout_s, convert, on_done):
+        limits = patience.get(operation)
+        sent_at = now()
+
         def finish(result):
             outcome = _convert(result, convert)
-            if result.error == "timeout":
+            timed_out = result.error == "timeout"
+            if limits is not None and (timed_out or result.status in (200, 412)):
+                limits.note(now() - sent_at, not timed_out)
+            if timed_out:
                 # Other connections may have gone silent with this one.
                 client.close_idle(addr)
             if isinstance(outcome, _Page):
@@ -97,7 +128,7 @@
             finish,
             headers=(("Content-Type", "application/json"),) if body else (),
             body=body,
-            timeout_s=timeout_s,
+            timeout_s=timeout_s if limits is None else limits.limit_s,
         )
 
     def estimate(at):
@@ -156,7 +187,7 @@
             "remove": [name(w.table, w.key) for w in writes if w.value is None],
         }
         data = msgspec.json.encode(body)
-        call("commit", "POST", "/rows-tx", data, CALL_TIMEOUT_S, convert, on_done)
+        call("commit", "POST", "/rows-tx", data, None, convert, on_done)
 
     return commit
 
@@ -191,7 +222,7 @@
         if end:
             query["to"] = end
         path = f"/rows-get?{urlencode(query)}"
-        call("read", "GET", path, b"", CALL_TIMEOUT_S, convert, finish)
+        call("read", "GET", path, b"", None, convert, finish)
 
     return read
 
