Keep inserts with the leader while the store is only slow

Change: the leader refuses only when the store turns it away; a busy partition is asked again until the caller leaves; calls are given up after 0.9 s at the earliest.

--- a/cornelward/inserts.py
+++ b/cornelward/inserts.py
@@ -93,16 +93,21 @@
     return expected, writes
 
 
-def finish(inserts, now, part, result):
-    """Take in the answer to a batch; returns True if it must be sent again."""
+def finish(inserts, now, part, result, turned_away=False):
+    """Take in the answer to a batch; returns True if it must be sent again.
+
+    ``turned_away`` tells that the store refuses all calls of this node, so that another
+    one may try; a partition that is only busy is asked again.
+    """
     state = inserts.parts[part]
     if isinstance(result, Applied):
         _close(state, state.batch, ACCEPTED, result.version)
     elif isinstance(result, Rows):
         _settle_present(state, result)
-    elif isinstance(result, Refused) and not state.uncertain:
+    elif isinstance(result, Refused) and not state.uncertain and turned_away:
         _close(state, state.batch, REFUSED)
     else:
+        state.uncertain = state.uncertain or not isinstance(result, Refused)
         return _keep_trying(state, now)
     return False
 
@@ -125,11 +130,10 @@
 
 def _keep_trying(state, now):
     """After a lost answer only the same batch may tell what became of it."""
-    state.uncertain = True
     late = [i for i in state.batch if now >= i.until]
     state.batch = [i for i in state.batch if now < i.until]
     for insert in late:
-        insert.on_outcome(UNKNOWN, None)
+        insert.on_outcome(UNKNOWN if state.uncertain else REFUSED, None)
     return bool(state.batch)
 
 
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -258,10 +258,10 @@
 def insert_for_peer(node, value, limit_s, on_outcome):
     """Store a job for another node."""
     spec = decode_spec(value)
-    if spec is None or node.health.is_failing:
+    now = now_of(node)
+    if spec is None or node.health.is_refused(now):
         on_outcome(REFUSED)
         return
-    now = now_of(node)
     submission = Submission(spec, value, now, now + limit_s, by_peer=True)
     if node.leader is not None and node.leader.core is not None:
         _insert_in_group(node, submission, on_outcome)
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -351,7 +351,9 @@
 
 def _send_inserts(node, part, name, expected, writes):
     def done(result):
-        again = inserts.finish(part.inserts, node.parts.now(), name, result)
+        now = node.parts.now()
+        turned_away = node.health.is_refused(now)
+        again = inserts.finish(part.inserts, now, name, result, turned_away)
         if again:
             batch = part.inserts.parts[name].batch
             node.loop.call_later(
--- a/cornelward/platform/store.py
+++ b/cornelward/platform/store.py
@@ -18,7 +18,7 @@
 # A call is given up after this many times the longest of the last answers: a store that
 # loses answers must not stop us for long, and one that is slow not be asked twice.
 TIMEOUT_FACTOR = 4
-TIMEOUT_MIN_S = 0.4
+TIMEOUT_MIN_S = 0.9
 TIMEOUT_MAX_S = 3.0
 ANSWERS_KEPT = 8
 # Calls that take longer are logged; the store answers in 5 ms.
@@ -83,7 +83,7 @@
 
     def __init__(self):
         self.taken_s = collections.deque(maxlen=ANSWERS_KEPT)
-        self.limit_s = 2 * TIMEOUT_MIN_S
+        self.limit_s = TIMEOUT_MIN_S
 
     def note(self, taken_s, answered):
         """Take in how long a call took."""
