--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -55,7 +55,7 @@
 PEER_STORE_AGE_S = 0.8
 LEADER_ANSWER_S = 0.35
 # A leader whose beats stop for this long is not waited for.
-LEADER_SILENT_S = 0.8
+LEADER_SILENT_S = 1.2
 CANCEL_ANSWER_S = 1.2
 # Counts of waiting jobs are given out while they are younger than this.
 PENDING_AGE_S = 1.8
