Test nodes on a stand-in of the platform; bound a former leader's lease

Change: standins/cell.py (store, workers, policy service with switches) and tests of whole nodes. After a worker's first answer to a leader no former lease can be longer than the platform's longest, so the wait is bounded by that. A cancel of a cancelled job is acknowledged again. Ruled out: no wait on a first leader; it cannot tell that it is the first after the store forgot nothing but its own row.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -16,7 +16,6 @@
 from .staged_jobs import (
     CANCELLED,
     COMPLETED,
-    DONE,
     FAILED,
     PLACED,
     QUEUED,
@@ -175,6 +174,9 @@
     ``reply(False)`` if it is over.
     """
     job = state.jobs.get(job_id)
+    if state.finished.get(job_id) == CANCELLED:
+        state.effects.append(Tell(reply, True))
+        return
     if job is None or job.outcome in (COMPLETED, FAILED):
         over = job is not None or job_id in state.finished
         state.effects.append(Tell(reply, False if over else None))
@@ -404,6 +406,3 @@
     effect = advising.ask(state.advising, now, job, key, wanted)
     if effect is not None:
         state.effects.append(effect)
-
-
-__all__ += ["COMPLETED", "DONE"]
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -157,6 +157,10 @@
         return
     if worker.look_failed or worker.answered_at is None:
         state.needs_plan = True
+    if worker.answered_at is None:
+        # From here on the worker refuses a former leader, whose lease is bounded.
+        longest_s = state.cfg["longest_lease_s"]
+        workers.bound_lease(worker, now, longest_s)
     worker.look_failed = 0
     worker.answered_at = now
     if report.born != worker.info.born:
--- a/cornelward/http_client.py
+++ b/cornelward/http_client.py
@@ -107,7 +107,9 @@
 
 
 def _encode(addr, method, path, headers, body):
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {addr}"]
+    lines = [f"{method} {path} HTTP/1.1"]
+    if not any(name.lower() == "host" for name, _ in headers):
+        lines.append(f"Host: {addr}")
     lines += [f"{name}: {value}" for name, value in headers]
     lines.append(f"Content-Length: {len(body)}\r\n\r\n")
     return "\r\n".join(lines).encode("latin-1") + body
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -149,6 +149,7 @@
     settings = node.settings
     cfg = {
         "lease_s": min(LEASE_S, settings.longest_lease_s),
+        "longest_lease_s": settings.longest_lease_s,
         "unknown_lease_s": HOLD_WITHOUT_STORE_S
         + settings.longest_lease_s * 1.02
         + UNKNOWN_MARGIN_S,
--- a/cornelward/workers.py
+++ b/cornelward/workers.py
@@ -172,6 +172,12 @@
     return deadline
 
 
+def bound_lease(worker, now, lease_s):
+    """Take in that no lease on the worker is longer than ``lease_s`` from ``now``."""
+    ends_at = now + lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_S
+    worker.lease_ends_at = min(worker.lease_ends_at, ends_at)
+
+
 def demand_of(step):
     """Return the room that a task of ``step`` takes: cpu, memory, accelerators."""
     return (0 if step.backfill else step.cpu, step.memory_mb, step.accelerators)
--- /dev/null
+++ b/standins/cell.py
@@ -0,0 +1,340 @@
+"""Stand-in for the operators' platform: store, workers and policy service in one loop.
+
+Not part of the product; it speaks the platform's protocol on loopback. Switches of the
+store: ``down`` (answers 503), ``slow_s`` (added to each answer), ``lost`` (share of
+writes that are done and not answered), ``forgotten`` (the feed's history is gone).
+Switches of a worker: ``silent`` (no answers), ``fails`` (each run ends as failed).
+"""
+
+import base64
+import itertools
+import random
+import time
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+
+from cornelward.http_server import HttpServer
+
+__all__ = ["Advice", "Cell", "StandinWorker", "StoreStandin"]
+
+LOCAL = ("127.0.0.1", 0)
+HEARTBEAT_S = 0.5
+PAGE_ROWS = 500
+RUN_ENDS = "done"
+
+
+class StoreStandin:
+    """Tables of rows with versions; transactions, listings and the feed."""
+
+    def __init__(self, loop, seed):
+        self.loop = loop
+        self.rng = random.Random(seed)
+        self.rows = {}
+        self.version = 0
+        self.changes = []
+        self.waiting = []
+        self.calls = 0
+        self.down = self.forgotten = False
+        self.slow_s = self.lost = 0.0
+        self.server = HttpServer(loop, LOCAL, self.handle)
+        self.address = self.server.address
+
+    def put(self, table, key, value, part=""):
+        """Write a row from outside: operator or worker; None removes it."""
+        self._apply([(table, part, key, value)])
+
+    def handle(self, call):
+        """Serve one call, with what the switches say."""
+        self.calls += 1
+        if self.down:
+            call.answer_json(503, {})
+            return
+        if self.slow_s:
+            self.loop.call_later(self.slow_s, lambda: self._serve(call))
+        else:
+            self._serve(call)
+
+    def _serve(self, call):
+        req = call.request
+        query = {k: v[0] for k, v in parse_qs(req.query).items()}
+        if req.path == "/rows-tx":
+            self._transact(call, msgspec.json.decode(req.body))
+        elif req.path == "/rows-get":
+            self._list(call, query)
+        elif req.path == "/rows-feed":
+            self._feed(call, query)
+        else:
+            call.answer_json(404, {})
+
+    def _row(self, name):
+        value, version = self.rows[name]
+        table, part, key = name
+        text = base64.b64encode(value).decode()
+        return {
+            "table": table,
+            "part": part,
+            "key": key,
+            "value": text,
+            "row_version": version,
+        }
+
+    def _transact(self, call, body):
+        names = [
+            ((e["table"], e["part"], e["key"]), e["row_version"])
+            for e in body["expected_revision"]
+        ]
+        entries = [*body["expected_revision"], *body["writes"], *body["remove"]]
+        if len(entries) > 100 or len({e["part"] for e in entries}) > 1:
+            call.answer_json(400, {"reason": "too many entries or parts"})
+            return
+        if any(self.rows.get(name, (None, 0))[1] != v for name, v in names):
+            rows = [self._row(name) for name, _ in names if name in self.rows]
+            call.answer_json(412, {"rows": rows, **self._now()})
+            return
+        writes = [
+            (w["table"], w["part"], w["key"], base64.b64decode(w["value"]))
+            for w in body["writes"]
+        ]
+        writes += [(w["table"], w["part"], w["key"], None) for w in body["remove"]]
+        self._apply(writes)
+        if self.rng.random() >= self.lost:
+            call.answer_json(200, self._now())
+
+    def _apply(self, writes):
+        self.version += 1
+        for table, part, key, value in writes:
+            if value is None:
+                self.rows.pop((table, part, key), None)
+            else:
+                self.rows[table, part, key] = (value, self.version)
+            self.changes.append((self.version, table, part, key))
+        waiting, self.waiting = self.waiting, []
+        for call, table, after, _ in waiting:
+            self._answer_feed(call, table, after, False)
+        self.waiting += [w for w in waiting if not w[0].answered]
+
+    def _now(self):
+        now_ms = int(time.monotonic() * 1000)
+        return {"row_version": self.version, "now_ms": now_ms}
+
+    def _list(self, call, query):
+        table, part = query["table"], query.get("part", "")
+        first, end = unquote(query.get("from", "")), unquote(query.get("to", ""))
+        names = sorted(
+            name
+            for name in self.rows
+            if name[:2] == (table, part)
+            and name[2] >= first
+            and (not end or name[2] < end)
+        )
+        rows = [self._row(name) for name in names[:PAGE_ROWS]]
+        more = len(names) > PAGE_ROWS
+        call.answer_json(200, {"rows": rows, "has_more": more, **self._now()})
+
+    def _feed(self, call, query):
+        after, table = int(query["after"]), query["table"]
+        if self.forgotten:
+            call.answer_json(410, {})
+            return
+        self._answer_feed(call, table, after, False)
+        if not call.answered:
+            self.waiting.append((call, table, after, None))
+            wait_s = int(query["wait_ms"]) / 1000
+            end = lambda: self._answer_feed(call, table, after, True)  # noqa: E731
+            self.loop.call_later(wait_s, end)
+
+    def _answer_feed(self, call, table, after, is_last):
+        if call.answered:
+            return
+        names = dict.fromkeys(
+            (t, p, k) for v, t, p, k in self.changes if v > after and t == table
+        )
+        if not names and not is_last:
+            return
+        rows = [
+            self._row(name)
+            if name in self.rows
+            else {"key": name[2], "deleted": True, "row_version": self.version}
+            for name in names
+        ]
+        call.answer_json(200, {"rows": rows, **self._now()})
+
+
+class StandinWorker:
+    """A worker that registers itself, runs tasks and keeps the rules of its lease."""
+
+    def __init__(self, cell, worker_id, rack, cpu):
+        self.cell = cell
+        self.id = worker_id
+        self.labels = ["a", rack]
+        self.cpu = cpu
+        self.silent = self.fails = False
+        self.token = 0
+        self.deadline_ms = 0
+        self.running = {}
+        self.closed = {}
+        self.ended = []
+        self.numbers = itertools.count(1)
+        self.born = int(time.time() * 1000)
+        self.looks = []
+        self.server = HttpServer(cell.loop, LOCAL, self.handle)
+        self.register()
+        cell.loop.call_every(HEARTBEAT_S, self.register)
+
+    @property
+    def clock_ms(self):
+        return int(time.monotonic() * 1000)
+
+    def register(self, state="ready"):
+        """Write the registry entry, as each heartbeat does."""
+        if self.silent:
+            return
+        entry = {
+            "service": self.cell.service,
+            "address": self.server.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "capacity": {"cpu": self.cpu, "mem_mb": 65_536, "gpu": 0},
+            "labels": self.labels,
+            "clock_ms": self.clock_ms,
+            "born": self.born,
+            "sequence": 1,
+        }
+        self.cell.store.put("servers", self.id, msgspec.json.encode(entry))
+
+    def handle(self, call):
+        """Serve one order."""
+        if self.silent:
+            return
+        body = msgspec.json.decode(call.request.body)
+        if body["fencing_token"] < self.token:
+            self._answer(call, 409, reason="fence")
+            return
+        self.token = body["fencing_token"]
+        if self.running and self.clock_ms > self.deadline_ms:
+            for key in list(self.running):
+                self.end(key, "lapsed")
+        self.deadline_ms = max(self.deadline_ms, body.get("deadline_ms", 0))
+        ORDERS[call.request.path](self, call, body)
+
+    def _answer(self, call, status, **fields):
+        fields |= {"clock_ms": self.clock_ms, "born": self.born}
+        call.answer_json(status, fields)
+
+    def start(self, call, body):
+        key = (body["task"], body["run"])
+        if key not in self.running and key[1] <= self.closed.get(key[0], 0):
+            self._answer(call, 409, reason="old")
+            return
+        if self.cell.approves is not None and not body.get("ticket"):
+            self._answer(call, 409, reason="ticket")
+            return
+        if key not in self.running:
+            self.running[key] = body
+            self.cell.started(self, key)
+            ends = "failed" if self.fails else RUN_ENDS
+            self.cell.loop.call_later(self.cell.run_s, lambda: self.end(key, ends))
+        self._answer(call, 200)
+
+    def stop(self, call, body):
+        name, attempt = body["task"], body["run"]
+        self.closed[name] = max(self.closed.get(name, 0), attempt)
+        self.end((name, attempt), "stopped")
+        self._answer(call, 200)
+
+    def end(self, key, how):
+        """End a run and answer the looks that wait for an end."""
+        if self.running.pop(key, None) is None:
+            return
+        self.closed[key[0]] = max(self.closed.get(key[0], 0), key[1])
+        self.ended.append([next(self.numbers), *key, how, ""])
+        self.cell.ended(self, key, how)
+        for call in self.looks:
+            self._list(call)
+        self.looks = []
+
+    def look(self, call, body):
+        self.ended = [e for e in self.ended if e[0] > body["last_seen"]]
+        wait_s = body.get("wait_ms", 0) / 1000
+        if self.ended or not wait_s:
+            self._list(call)
+            return
+        self.looks.append(call)
+        self.cell.loop.call_later(wait_s, lambda: self._list(call))
+
+    def _list(self, call):
+        running = [[*key, "", 50] for key in self.running]
+        if not call.answered and not self.silent:
+            self._answer(call, 200, running=running, finished=list(self.ended))
+
+
+ORDERS = {
+    "/run-start": StandinWorker.start,
+    "/run-stop": StandinWorker.stop,
+    "/hold": StandinWorker.look,
+}
+
+
+class Advice:
+    """The policy service: approves the workers of the cell's ``approves``."""
+
+    def __init__(self, cell):
+        self.cell = cell
+        self.calls = 0
+        self.server = HttpServer(cell.loop, LOCAL, self.handle)
+
+    def handle(self, call):
+        self.calls += 1
+        body = msgspec.json.decode(call.request.body)
+        approved = [[w, f"t-{w}"] for w in body["workers"] if self.cell.approves(w)]
+        answer = {"approved": approved, "valid_ms": 2_500}
+        self.cell.loop.call_later(0.02, lambda: call.answer_json(200, answer))
+
+
+class Cell:
+    """A platform with some workers; records what ran and what must not happen."""
+
+    def __init__(self, loop, workers=3, cpu=8_000, run_s=0.2, approves=None, seed=1):
+        self.loop = loop
+        self.service = "svc"
+        self.run_s = run_s
+        self.approves = approves
+        self.starts = []
+        self.broken = []
+        self.finished = set()
+        self.store = StoreStandin(loop, seed)
+        self.advice = Advice(self)
+        self.workers = {
+            f"i-{n}": StandinWorker(self, f"i-{n}", f"r1-{n % 2}", cpu)
+            for n in range(workers)
+        }
+
+    def started(self, worker, key):
+        self.starts.append((worker.id, *key))
+        for other in self.workers.values():
+            if any(k[0] == key[0] and k != key for k in other.running):
+                self.broken.append(f"{key[0]} runs twice")
+        if key[0] in self.finished:
+            self.broken.append(f"{key[0]} started after it was done")
+
+    def ended(self, worker, key, how):
+        if how == "done":
+            self.finished.add(key[0])
+
+    def configure(self, version, routes):
+        """Write the operators' configuration."""
+        config = {
+            "version": version,
+            "routes": routes,
+            "services": [{"name": self.service}],
+            "limits": {
+                "max_header_bytes": 16_384,
+                "max_body_bytes": 262_144,
+                "header_timeout_ms": 3_000,
+                "idle_timeout_ms": 15_000,
+            },
+        }
+        self.store.put("op", "config", msgspec.json.encode(config))
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -24,7 +24,8 @@
 from cornelward.workers import WorkerInfo
 
 LEASE_S = 6.0
-UNKNOWN_LEASE_S = 19.0
+LONGEST_LEASE_S = 10.0
+UNKNOWN_LEASE_S = 23.0
 STOP_S = 0.3
 GANG_WINDOW_S = 3.0
 # An answer that never comes ends the call after this.
@@ -140,7 +141,9 @@
         self.token = token
         if effect.deadline_s < self.clock:
             return "late"
-        self.deadline = max(self.deadline, min(effect.deadline_s, self.clock + 10))
+        self.deadline = max(
+            self.deadline, min(effect.deadline_s, self.clock + LONGEST_LEASE_S)
+        )
         key = (run.name, run.attempt)
         if key in self.running:
             return "ok"
@@ -167,7 +170,9 @@
             return "fence"
         self.token = token
         if effect.deadline_s is not None:
-            self.deadline = max(self.deadline, min(effect.deadline_s, self.clock + 10))
+            self.deadline = max(
+                self.deadline, min(effect.deadline_s, self.clock + LONGEST_LEASE_S)
+            )
         for entry in self.ended:
             if entry[0] <= effect.last_end:
                 self.sim.end_noted(entry)
@@ -305,7 +310,11 @@
         fences = {}
         for part in commits.PARTS:
             fences[part] = sim.store.put(part, "fence", "main", b"%d" % self.token)
-        cfg = {"lease_s": LEASE_S, "unknown_lease_s": UNKNOWN_LEASE_S}
+        cfg = {
+            "lease_s": LEASE_S,
+            "longest_lease_s": LONGEST_LEASE_S,
+            "unknown_lease_s": UNKNOWN_LEASE_S,
+        }
         self.core = dispatch.Dispatcher(self.token, fences, cfg, sim.now)
         infos = [w.info for w in sim.workers.values()]
         dispatch.workers_seen(self.core, sim.now, infos, complete=True)
--- /dev/null
+++ b/tests/fixtures_node.py
@@ -0,0 +1,117 @@
+"""Nodes on the platform's stand-in, all in one loop."""
+
+import socket
+
+import msgspec
+import pytest
+
+from cornelward.http_client import HttpClient
+from cornelward.loop import Loop
+from cornelward.platform.compose import build_node
+from cornelward.platform.settings import NodeSettings
+from standins.cell import Cell
+
+LIMIT_S = 60
+ROUTE = {
+    "name": "q",
+    "host": "jobs.example",
+    "path_prefix": "/jobs/",
+    "service": "svc",
+    "type": "non_idempotent",
+    "timeout_ms": 3_000,
+    "latency_slo_ms": 1_000,
+    "priority": 1,
+    "max_attempts": 3,
+    "stretch": 2.0,
+}
+ADVICE = {"decision_ms": 20, "period_ms": 1, "valid_ms": 2_500}
+
+
+def free_address():
+    """Return a loopback address whose port was free just now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+class NodeCell:
+    """A stand-in platform and nodes on it."""
+
+    def __init__(self):
+        self.loop = Loop()
+        self.client = HttpClient(self.loop)
+        self.cell = None
+        self.nodes = []
+
+    def begin(self, nodes=2, route=ROUTE, **options):
+        """Start the platform and some nodes; returns when one leads."""
+        self.cell = Cell(self.loop, **options)
+        self.cell.configure(1, [route])
+        for number in range(nodes):
+            self.add_node(number)
+        self.wait(lambda: self.leader() is not None)
+        self.wait(lambda: all(n.leadership.leader_address for n in self.nodes))
+        self.wait(lambda: all(n.config for n in self.nodes))
+        return self
+
+    def add_node(self, number):
+        """Start a node."""
+        settings = NodeSettings(
+            node=f"n{number}",
+            failure_domain="z1",
+            region="r1",
+            ip="127.0.0.1",
+            caller_address=free_address(),
+            ready_address=free_address(),
+            peer_address=free_address(),
+            store_address=self.cell.store.address,
+            advice_address=self.cell.advice.server.address,
+            store_writes_per_s=800.0,
+            store_reads_per_s=2_000.0,
+            longest_lease_s=6.0,
+            stop_s=0.4,
+            gang_window_s=3.0,
+            grace_s=6.0,
+            keep_final_s=120.0,
+        )
+        self.nodes.append(build_node(settings, self.loop))
+        return self.nodes[-1]
+
+    def leader(self):
+        """Return the node that leads, or None."""
+        leading = [n for n in self.nodes if n.leader and n.leader.core]
+        return leading[0] if leading else None
+
+    def wait(self, condition, limit_s=LIMIT_S):
+        """Turn the loop until the condition holds."""
+        assert self.loop.run_until(condition, limit_s)
+
+    def call(self, node, method, path, value=None, headers=()):
+        """Return the HttpResult of one request of a caller."""
+        results = []
+        self.client.request(
+            node.settings.caller_address,
+            method,
+            path,
+            results.append,
+            headers=(("Host", "jobs.example"), *headers),
+            body=b"" if value is None else msgspec.json.encode(value),
+            timeout_s=20.0,
+        )
+        self.wait(lambda: results)
+        return results[0]
+
+    def state(self, node, job_id):
+        """Return the state that a node shows for a job."""
+        return (self.call(node, "GET", f"/jobs/{job_id}").json() or {}).get("state")
+
+    def submit(self, node, job_id, steps, **fields):
+        """Submit a job; returns the status."""
+        body = {"spec": "text", "steps": steps, **fields}
+        return self.call(node, "POST", f"/jobs/{job_id}", body).status
+
+
+@pytest.fixture
+def cell():
+    """Return a NodeCell that has not begun."""
+    return NodeCell()
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,210 @@
+"""Nodes on the platform's stand-in: submit, show, cancel, take over, outages."""
+
+import pytest
+from fixtures_node import ADVICE, ROUTE, cell
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength
+
+from cornelward import node as shell
+
+__all__ = ["cell"]
+
+JOB = "5c0e7a21d94b36f8"
+TWO_STEPS = [
+    {"count": 2, "cpu": 500, "mem_mb": 256, "estimate_ms": 200},
+    {"count": 3, "cpu": 500, "mem_mb": 256, "estimate_ms": 200, "after": [0]},
+]
+
+
+def completed(cell, node, job_id=JOB):
+    return lambda: cell.state(node, job_id) == "completed"
+
+
+def test_job_runs_its_steps_in_order_and_is_shown_everywhere(cell):
+    cell.begin()
+    first, second = cell.nodes
+    assert_that(cell.submit(first, JOB, TWO_STEPS), Equals(200))
+    cell.wait(completed(cell, second))
+    assert_that(cell.state(first, JOB), Equals("completed"))
+    assert_that(cell.cell.starts, HasLength(5))
+    steps = [task.split(".")[2] for _, task, _ in cell.cell.starts]
+    assert_that(steps, Equals(sorted(steps)))
+
+
+def test_repeated_submission_stays_one_job(cell):
+    cell.begin()
+    for node in cell.nodes * 2:
+        assert_that(cell.submit(node, JOB, TWO_STEPS), Equals(200))
+    cell.wait(completed(cell, cell.nodes[0]))
+    assert_that(cell.submit(cell.nodes[1], JOB, TWO_STEPS), Equals(200))
+    assert_that(cell.cell.starts, HasLength(5))
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "status"),
+    [
+        ("/other/5c0e7a21d94b36f8", {}, 404),
+        ("/jobs/not-an-id", {}, 404),
+        ("/jobs/5c0e7a21d94b36f8", {"steps": []}, 400),
+        ("/jobs/5c0e7a21d94b36f8", {"steps": [{"count": "x"}]}, 400),
+        ("/jobs/5c0e7a21d94b36f8", [1], 400),
+        ("/jobs/5c0e7a21d94b36f8", {"steps": [{"count": 1, "after": [0]}]}, 400),
+    ],
+)
+def test_bad_requests_are_refused(cell, path, body, status):
+    cell.begin(nodes=1)
+    result = cell.call(cell.nodes[0], "POST", path, body)
+    assert_that(result.status, Equals(status))
+
+
+def test_unknown_job_is_gone_and_unknown_queue_not_found(cell):
+    cell.begin()
+    for node in cell.nodes:
+        assert_that(cell.call(node, "GET", f"/jobs/{JOB}").status, Equals(410))
+        assert_that(cell.call(node, "DELETE", f"/jobs/{JOB}").status, Equals(410))
+        assert_that(cell.call(node, "GET", f"/none/{JOB}").status, Equals(404))
+
+
+def test_cancelled_job_stops(cell):
+    cell.begin(run_s=30.0)
+    cell.submit(cell.nodes[0], JOB, TWO_STEPS)
+    cell.wait(lambda: len(cell.cell.starts) == 2)
+    for node in cell.nodes:
+        assert_that(cell.call(node, "DELETE", f"/jobs/{JOB}").status, Equals(200))
+    cell.wait(lambda: not any(w.running for w in cell.cell.workers.values()))
+    assert_that(cell.state(cell.nodes[1], JOB), Equals("cancelled"))
+
+
+def test_cancel_without_a_leader_is_left_in_the_store(cell):
+    cell.begin(run_s=30.0)
+    leader = cell.leader()
+    other = next(n for n in cell.nodes if n is not leader)
+    cell.submit(other, JOB, TWO_STEPS)
+    cell.wait(lambda: len(cell.cell.starts) == 2)
+    kill(cell, leader)
+    assert_that(cell.call(other, "DELETE", f"/jobs/{JOB}").status, Equals(200))
+    cell.wait(lambda: cell.leader() is other)
+    cell.wait(lambda: not any(w.running for w in cell.cell.workers.values()))
+    assert_that(cell.state(other, JOB), Equals("cancelled"))
+
+
+def kill(cell, node):
+    """End a node without a word, as SIGKILL does."""
+    if node.leader is not None:
+        node.leader.closed = True
+    node.leader = None
+    node.leadership.leaving = True
+    node.leadership.role = "killed"
+    node.peers.close()
+    cell.nodes.remove(node)
+
+
+def test_successor_adopts_what_runs(cell):
+    cell.begin(run_s=4.0)
+    leader = cell.leader()
+    cell.submit(leader, JOB, TWO_STEPS[:1])
+    cell.wait(lambda: len(cell.cell.starts) == 2)
+    kill(cell, leader)
+    cell.wait(lambda: cell.leader() is not None)
+    cell.wait(completed(cell, cell.nodes[0]))
+    assert_that(cell.cell.starts, HasLength(2))
+    assert_that(cell.cell.broken, Equals([]))
+
+
+def test_leader_that_stops_hands_over(cell):
+    cell.begin(run_s=0.5)
+    leader = cell.leader()
+    cell.submit(leader, JOB, TWO_STEPS)
+    shell.begin_stop(leader)
+    cell.wait(lambda: cell.leader() not in (None, leader))
+    other = cell.leader()
+    cell.wait(completed(cell, other))
+    assert_that(cell.cell.broken, Equals([]))
+    assert_that(cell.cell.starts, HasLength(5))
+
+
+def test_outage_of_the_store_refuses_with_a_time_and_loses_nothing(cell):
+    cell.begin(run_s=1.0)
+    cell.submit(cell.nodes[0], JOB, TWO_STEPS)
+    cell.wait(lambda: len(cell.cell.starts) == 2)
+    cell.cell.store.down = True
+    body = {"spec": "", "steps": TWO_STEPS}
+    result = cell.call(cell.nodes[1], "POST", "/jobs/" + "a" * 16, body)
+    assert_that(result.status, Equals(503))
+    assert_that(int(result.headers["retry-after"]), GreaterThan(0))
+    cell.cell.store.down = False
+    cell.wait(completed(cell, cell.nodes[0]))
+    assert_that(
+        cell.call(cell.nodes[1], "GET", "/jobs/" + "a" * 16).status, Equals(410)
+    )
+    assert_that(cell.cell.broken, Equals([]))
+
+
+def test_lost_answers_of_the_store_make_no_second_job(cell):
+    cell.begin()
+    cell.cell.store.lost = 0.4
+    status = cell.submit(cell.nodes[1], JOB, TWO_STEPS)
+    assert_that([200, 504], Contains(status))
+    cell.cell.store.lost = 0.0
+    cell.wait(completed(cell, cell.nodes[0]))
+    assert_that(cell.cell.starts, HasLength(5))
+
+
+def test_tasks_of_a_silent_worker_run_elsewhere(cell):
+    cell.begin(nodes=1, workers=2, run_s=1.0)
+    steps = [{"count": 8, "cpu": 2000, "mem_mb": 100, "estimate_ms": 1000}]
+    cell.submit(cell.nodes[0], JOB, steps)
+    cell.wait(lambda: len(cell.cell.starts) == 8)
+    cell.cell.workers["i-0"].silent = True
+    cell.wait(completed(cell, cell.nodes[0]))
+    repeated = [start for start in cell.cell.starts if start[2] == 2]
+    assert_that({worker for worker, _, _ in repeated}, Equals({"i-1"}))
+
+
+def test_job_fails_after_its_attempts(cell):
+    cell.begin(nodes=1)
+    for worker in cell.cell.workers.values():
+        worker.fails = True
+    cell.submit(cell.nodes[0], JOB, [{"count": 1, "cpu": 10, "estimate_ms": 100}])
+    cell.wait(lambda: cell.state(cell.nodes[0], JOB) == "failed")
+    assert_that(cell.cell.starts, HasLength(ROUTE["max_attempts"]))
+
+
+def test_advised_step_runs_only_where_it_may(cell):
+    cell.begin(route=ROUTE | {"advice": ADVICE}, approves=lambda w: w == "i-1")
+    for i in range(4):
+        cell.submit(cell.nodes[i % 2], f"{i:016x}", TWO_STEPS)
+    for i in range(4):
+        cell.wait(completed(cell, cell.nodes[0], f"{i:016x}"))
+    assert_that({worker for worker, _, _ in cell.cell.starts}, Equals({"i-1"}))
+
+
+def test_forgotten_history_is_read_again(cell):
+    cell.begin()
+    cell.cell.store.forgotten = True
+    cell.cell.configure(2, [ROUTE | {"path_prefix": "/moved/"}])
+    cell.wait(lambda: all(n.config.version == 2 for n in cell.nodes))
+    body = {"spec": "", "steps": TWO_STEPS}
+    result = cell.call(cell.nodes[0], "POST", f"/moved/{JOB}", body)
+    assert_that(result.status, Equals(200))
+
+
+def test_unreadable_entries_of_the_registry_are_left_out(cell):
+    cell.begin(nodes=1)
+    for key, value in (("x1", b"\xff\x00"), ("x2", b'{"service": 3}'), ("x3", b"[]")):
+        cell.cell.store.put("servers", key, value)
+    cell.cell.store.put("op", "config", b'{"version": 9}')
+    cell.submit(cell.nodes[0], JOB, TWO_STEPS)
+    cell.wait(completed(cell, cell.nodes[0]))
+    assert_that(cell.nodes[0].config.version, Equals(1))
+
+
+def test_pending_counts_jobs_that_have_not_begun(cell):
+    cell.begin()
+    big = [{"count": 1, "cpu": 99_000, "mem_mb": 1, "estimate_ms": 100}]
+    for i in range(3):
+        cell.submit(cell.nodes[i % 2], f"{i:016x}", big)
+    for node in cell.nodes:
+        cell.wait(
+            lambda node=node: cell.call(node, "GET", "/jobs/").json() == {"pending": 3}
+        )
