--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -144,7 +144,10 @@
         _answer_submit(node, call, spec, outcome)
 
     if node.leader is not None and node.leader.core is not None:
-        _insert_in_group(node, submission, done)
+        if node.health.is_out(now):
+            _insert_by_peer(node, submission, done)
+        else:
+            _insert_in_group(node, submission, done)
     elif node.leadership.leader_address and node.leader is None:
         # The leader stores the jobs of all nodes together.
         _insert_by_peer(node, submission, done)
@@ -209,7 +212,8 @@
     """Let the leader store the job, or a peer if the store turns the leader away."""
     peers = node.intake.peers
     leader = node.leadership.leader_address
-    to_leader = leader and (node.leadership.store_age_s < PEER_STORE_AGE_S or not peers)
+    reaches_store = node.leadership.store_age_s < PEER_STORE_AGE_S
+    to_leader = leader and node.leader is None and (reaches_store or not peers)
     tried = submission._replace(by_peer=True)
     now = now_of(node)
 
@@ -218,7 +222,7 @@
             on_outcome(ACCEPTED)
             return
         uncertain = tried.uncertain or outcome != REFUSED
-        if node.health.is_failing and not uncertain:
+        if node.health.is_out(now_of(node)) and not uncertain:
             on_outcome(REFUSED)
         elif now_of(node) >= tried.until:
             on_outcome(UNKNOWN if uncertain else REFUSED)
@@ -259,7 +263,8 @@
     """Store a job for another node."""
     spec = decode_spec(value)
     now = now_of(node)
-    if spec is None or node.health.is_refused(now):
+    if spec is None or node.health.is_out(now):
+        # Nothing was sent, so the caller gets a true refusal now, not its deadline.
         on_outcome(REFUSED)
         return
     submission = Submission(spec, value, now, now + limit_s, by_peer=True)
--- a/cornelward/store_health.py
+++ b/cornelward/store_health.py
@@ -7,6 +7,8 @@
 # A store over its rate refuses single calls; being turned away is more than that.
 REFUSALS = 3
 REFUSED_S = 0.25
+# Failures for this long are an outage: what was not sent yet need not be tried.
+OUTAGE_S = 0.5
 
 
 class StoreHealth:
@@ -42,3 +44,7 @@
         """Return whether the store has turned this process away for a while."""
         failing_s = self.failing_s(now)
         return self.refusals >= REFUSALS and failing_s >= REFUSED_S
+
+    def is_out(self, now):
+        """Return whether the store has not answered this process for a while."""
+        return self.is_refused(now) or self.failing_s(now) >= OUTAGE_S
--- a/tests/test_store_health.py
+++ b/tests/test_store_health.py
@@ -30,3 +30,13 @@
     for i in range(9, 12):
         health.note(float(i), "refused")
     assert_that(health.is_refused(12.0), Is(True))
+
+
+def test_outage_begins_after_half_a_second_of_failures():
+    health = StoreHealth()
+    health.note(1.0, "unknown")
+    health.note(1.2, "unknown")
+    assert_that(health.is_out(1.3), Is(False))
+    assert_that(health.is_out(1.6), Is(True))
+    health.note(1.7, "applied")
+    assert_that(health.is_out(9.0), Is(False))
