Insert in groups on every node; hand leadership to a chosen successor

Change: every node groups its inserts, one transaction a partition at a time; a leader that stops tells one node, which claims at once, and writes nothing; a refusal for want of the store closes the connection, so that the next try reaches another node, and a node that is cut off from all refuses at once. Ruled out: telling all nodes (they would all claim).

--- a/cornelward/http_server.py
+++ b/cornelward/http_server.py
@@ -35,6 +35,7 @@
 # Bodies of pipelined requests beyond this are left in the socket; answers that a caller
 # does not read hold up its next request.
 MAX_BUFFERED_BYTES = 262_144
+CLOSE = ("Connection", "close")
 REASONS = {400: "Bad Request", 408: "Request Timeout", 413: "Content Too Large"}
 REASONS |= {431: "Request Header Fields Too Large", 503: "Service Unavailable"}
 
@@ -213,6 +214,8 @@
                 res.headers["Content-Type"] = content_type
                 for name, value in headers:
                     res.headers[name] = value
+                    # The handler may send the caller to another process.
+                    res.close = res.close or (name, value) == CLOSE
                 self._respond(res)
             except Exception as exc:
                 # Without its answer the caller would wait for ever.
--- a/cornelward/leadership.py
+++ b/cornelward/leadership.py
@@ -18,7 +18,6 @@
     "beat_heard",
     "claim_answered",
     "renewal_answered",
-    "resign",
     "resigned_heard",
     "row_read",
     "tick",
@@ -40,7 +39,7 @@
 
 
 class LeaderRow(NamedTuple):
-    """The leader's row; ``node`` is empty after it resigned."""
+    """The leader's row."""
 
     node: str
     incarnation: int
@@ -116,11 +115,12 @@
     return True
 
 
-def resigned_heard(state, now):
-    """Look at the row at once: the leader has given it up."""
-    state.heard_at = now - BEAT_LOST_S
+def resigned_heard(state, now, token):
+    """Take over at once: the leader with ``token`` has stopped and chose this node."""
+    state.beat_token = token
+    state.store_age_s = STORE_AGE_S
+    state.heard_at = now
     state.asked_at = None
-    state.leader_address = None
 
 
 def tick(state, now):
@@ -151,7 +151,7 @@
     value, version = found
     row = decode_row(value) if value is not None else None
     if version != state.version:
-        if row is not None and row.node and row.token != state.beat_token:
+        if row is not None and row.token != state.beat_token:
             # A leader that was not heard yet gets time for its first beat.
             state.heard_at, state.store_age_s = now, 0.0
             state.leader_address = row.address
@@ -166,7 +166,7 @@
 
 
 def _may_claim(state, now, row):
-    if row is None or not row.node:
+    if row is None:
         return True
     if row.node == state.node:
         # Left by an earlier life of this node, or a claim whose answer was lost.
@@ -211,9 +211,3 @@
     state.leader_address = None
     state.heard_at = now - BEAT_LOST_S
     state.asked_at = None
-
-
-def resign(state):
-    """Return the row that gives leadership up."""
-    row = state.row._replace(node="", address="", renewals=state.row.renewals + 1)
-    return RenewLeadership(row, state.version)
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -5,7 +5,7 @@
 
 import time
 
-from . import leadership, node_jobs, node_leader
+from . import inserts, leadership, node_inserts, node_jobs, node_leader
 from .commits import Applied, Refused, Rows, Unknown
 from .dispatch_effects import RowWrite
 from .log import get_logger
@@ -65,6 +65,9 @@
         self.config = None
         self.leader = None
         self.intake = node_jobs.Intake()
+        self.inserts = inserts.Inserts()
+        # When the last message of another node arrived.
+        self.heard_at = clock()
         self.stopping_at = None
         self.stopped = False
 
@@ -232,6 +235,7 @@
 
 def on_message(node, envelope):
     """Take a message of another node."""
+    node.heard_at = clock()
     handler = HANDLERS.get(type(envelope.message))
     if handler is not None:
         handler(node, envelope, envelope.message)
@@ -256,7 +260,7 @@
 
 
 def _on_resigned(node, envelope, message):
-    leadership.resigned_heard(node.leadership, clock())
+    leadership.resigned_heard(node.leadership, clock(), message.token)
     tick(node)
 
 
@@ -269,7 +273,7 @@
     def done(outcome):
         node.peers.send(message.address, InsertReply(message.number, outcome))
 
-    node_jobs.insert_for_peer(node, message.spec, message.limit_s, done)
+    node_inserts.insert_for_peer(node, message.spec, message.limit_s, done)
 
 
 def _on_state_request(node, envelope, message):
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -4,8 +4,6 @@
 job in memory; without a leader the store is read.
 """
 
-from typing import NamedTuple
-
 from . import commits
 from .commits import Applied, Refused, Rows, Unknown
 from .dispatch_effects import RowWrite
@@ -15,16 +13,16 @@
     PLATFORM_UNAVAILABLE,
     RequestError,
 )
-from .inserts import ACCEPTED, REFUSED, UNKNOWN, Insert
+from .inserts import ACCEPTED, REFUSED
 from .log import get_logger
-from .messages import CancelRequest, InsertRequest, JobAccepted, StateRequest
+from .messages import CancelRequest, StateRequest
+from .node_inserts import is_isolated, store_job
 from .staged_jobs import (
     CANCELLED,
     COMPLETED,
     FAILED,
     QUEUED,
     RUNNING,
-    JobSpec,
     decode_record,
     decode_spec,
     encode_spec,
@@ -34,7 +32,6 @@
 __all__ = [
     "Intake",
     "handle",
-    "insert_for_peer",
     "is_busy",
     "note_pending",
     "reply_arrived",
@@ -48,11 +45,6 @@
 DEFAULT_DEADLINE_S = 3.0
 # An answer must still travel to the caller.
 ANSWER_MARGIN_S = 0.15
-INSERT_RETRY_S = 0.1
-# A peer tries for half of this.
-PEER_ANSWER_S = 1.0
-# A leader that reached the store this lately is asked first.
-PEER_STORE_AGE_S = 0.8
 LEADER_ANSWER_S = 0.35
 # A leader whose beats stop for this long is not waited for.
 LEADER_SILENT_S = 1.2
@@ -62,6 +54,8 @@
 # An outage is expected to last as long again as it has lasted, within these.
 RETRY_AFTER_MIN_S = 1
 RETRY_AFTER_MAX_S = 4
+# The store may turn away this node only: the caller should reach another one.
+CLOSE = (("Connection", "close"),)
 
 
 class Intake:
@@ -105,20 +99,34 @@
 
 
 def refuse(
-    call, status, code, message, verdict=Verdict.NOT_RUN, retry_s=RETRY_AFTER_MIN_S
+    call,
+    status,
+    code,
+    message,
+    verdict=Verdict.NOT_RUN,
+    retry_s=RETRY_AFTER_MIN_S,
+    headers=(),
 ):
     """Answer with an error; the Retry-After header tells when to come back."""
     exc = RequestError(code, message, verdict, int(retry_s * 1000) or None)
-    headers = (("Retry-After", str(retry_s)),) if retry_s else ()
+    if retry_s:
+        headers = (*headers, ("Retry-After", str(retry_s)))
     call.refuse(exc, status, headers)
 
 
 def refuse_store(node, call):
-    """Answer that the store is not available, with the time to come back."""
+    """Answer that the store is not available, with the time to come back.
+
+    A node that is cut off cannot tell; the caller's next connection reaches another.
+    """
+    if is_isolated(node, now_of(node)):
+        text = "this node is cut off"
+        refuse(call, 503, PLATFORM_UNAVAILABLE, text, retry_s=0, headers=CLOSE)
+        return
     failing_s = node.health.failing_s(now_of(node))
     retry_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, round(failing_s)))
     text = "the store is not available"
-    refuse(call, 503, PLATFORM_UNAVAILABLE, text, retry_s=retry_s)
+    refuse(call, 503, PLATFORM_UNAVAILABLE, text, retry_s=retry_s, headers=CLOSE)
 
 
 def _deadline_s(call):
@@ -136,24 +144,16 @@
         return
     now = now_of(node)
     spec = spec._replace(accepted_at=node.store.clock(now) or 0.0)
-    submission = Submission(
-        spec, encode_spec(spec), now, now + _deadline_s(call) - ANSWER_MARGIN_S
+    until = now + _deadline_s(call) - ANSWER_MARGIN_S
+    value = encode_spec(spec)
+    store_job(
+        node,
+        spec,
+        value,
+        until,
+        lambda outcome: _answer_submit(node, call, spec, outcome),
     )
 
-    def done(outcome):
-        _answer_submit(node, call, spec, outcome)
-
-    if node.leader is not None and node.leader.core is not None:
-        if node.health.is_out(now):
-            _insert_by_peer(node, submission, done)
-        else:
-            _insert_in_group(node, submission, done)
-    elif node.leadership.leader_address and node.leader is None:
-        # The leader stores the jobs of all nodes together.
-        _insert_by_peer(node, submission, done)
-    else:
-        _insert(node, submission, done)
-
 
 def _answer_submit(node, call, spec, outcome):
     if outcome == ACCEPTED:
@@ -168,125 +168,6 @@
         refuse(call, 504, PLATFORM_UNAVAILABLE, text, verdict=Verdict.MAY_HAVE_RUN)
 
 
-class Submission(NamedTuple):
-    """A job on its way into the store; ``uncertain`` once it may be stored."""
-
-    spec: JobSpec
-    value: bytes
-    begun: float
-    until: float
-    uncertain: bool = False
-    # A peer was asked already.
-    by_peer: bool = False
-
-
-def _insert(node, submission, on_outcome):
-    """Store the job; ``on_outcome`` gets ACCEPTED, REFUSED or UNKNOWN."""
-    spec = submission.spec
-    expected = [("jobs", spec.id, 0), ("done", spec.id, 0)]
-    writes = [RowWrite("jobs", spec.id, submission.value)]
-
-    def done(result):
-        now = now_of(node)
-        if isinstance(result, Applied | Rows):
-            _stored(node, submission, result)
-            on_outcome(ACCEPTED)
-            return
-        uncertain = submission.uncertain or isinstance(result, Unknown)
-        tried = submission._replace(uncertain=uncertain)
-        if now >= submission.until:
-            on_outcome(UNKNOWN if uncertain else REFUSED)
-        elif not submission.by_peer and node.intake.peers:
-            _insert_by_peer(node, tried, on_outcome)
-        elif uncertain:
-            node.loop.call_later(
-                INSERT_RETRY_S, lambda: _insert(node, tried, on_outcome)
-            )
-        else:
-            on_outcome(REFUSED)
-
-    node.store.commit(commits.part_of(spec.id), expected, writes, done)
-
-
-def _insert_by_peer(node, submission, on_outcome):
-    """Let the leader store the job, or a peer if the store turns the leader away."""
-    peers = node.intake.peers
-    leader = node.leadership.leader_address
-    reaches_store = node.leadership.store_age_s < PEER_STORE_AGE_S
-    to_leader = leader and node.leader is None and (reaches_store or not peers)
-    tried = submission._replace(by_peer=True)
-    now = now_of(node)
-
-    def replied(outcome):
-        if outcome == ACCEPTED:
-            on_outcome(ACCEPTED)
-            return
-        uncertain = tried.uncertain or outcome != REFUSED
-        if node.health.is_out(now_of(node)) and not uncertain:
-            on_outcome(REFUSED)
-        elif now_of(node) >= tried.until:
-            on_outcome(UNKNOWN if uncertain else REFUSED)
-        else:
-            # The insert names the absence of the job, so it may be repeated.
-            _insert(node, tried._replace(uncertain=uncertain), on_outcome)
-
-    if not to_leader and not peers:
-        replied(REFUSED)
-        return
-    address = leader if to_leader else node.rng.choice(peers)
-    limit_s = tried.until - now if to_leader else PEER_ANSWER_S
-    _ask(
-        node,
-        address,
-        lambda number: InsertRequest(number, node.address, tried.value, limit_s),
-        limit_s,
-        replied,
-    )
-
-
-def _insert_in_group(node, submission, on_outcome):
-    """Store the job together with others; only the leader does this."""
-
-    def settled(outcome, version):
-        if outcome == ACCEPTED and version is not None:
-            _stored(node, submission, Applied(version))
-        if outcome == REFUSED and not submission.by_peer and node.intake.peers:
-            _insert_by_peer(node, submission, on_outcome)
-        else:
-            on_outcome(outcome)
-
-    insert = Insert(submission.spec.id, submission.value, submission.until, settled)
-    node.parts.leader_inserts(node, insert)
-
-
-def insert_for_peer(node, value, limit_s, on_outcome):
-    """Store a job for another node."""
-    spec = decode_spec(value)
-    now = now_of(node)
-    if spec is None or node.health.is_out(now):
-        # Nothing was sent, so the caller gets a true refusal now, not its deadline.
-        on_outcome(REFUSED)
-        return
-    submission = Submission(spec, value, now, now + limit_s, by_peer=True)
-    if node.leader is not None and node.leader.core is not None:
-        _insert_in_group(node, submission, on_outcome)
-    else:
-        _insert(node, submission, on_outcome)
-
-
-def _stored(node, submission, result):
-    spec = submission.spec
-    if isinstance(result, Rows):
-        log("info", "submit_repeated", job=spec.id)
-        return
-    log("info", "accepted", job=spec.id, queue=spec.queue.name)
-    if node.leader is not None:
-        node.parts.leader_accepts(node, submission.value, result.version)
-    elif node.leadership.leader_address:
-        message = JobAccepted(result.version, submission.value)
-        node.peers.send(node.leadership.leader_address, message)
-
-
 # Show and cancel
 
 
@@ -294,12 +175,12 @@
     """Ask the leader; ``on_reply(None)`` if it does not know or answer."""
     address = node.leadership.leader_address
     if address:
-        _ask(node, address, make, limit_s, on_reply)
+        ask(node, address, make, limit_s, on_reply)
     else:
         on_reply(None)
 
 
-def _ask(node, address, make, limit_s, on_reply):
+def ask(node, address, make, limit_s, on_reply):
     """Send the question ``make(number)``; ``on_reply(None)`` after ``limit_s``."""
     intake = node.intake
     intake.number += 1
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -3,7 +3,7 @@
 import functools
 import time
 
-from . import advising, dispatch, dispatch_runs, inserts, leadership
+from . import advising, dispatch, dispatch_runs, leadership
 from .commits import PARTS, Applied, Refused, Rows, Unknown
 from .dispatch_effects import RowWrite
 from .log import get_logger
@@ -43,7 +43,6 @@
         self.begun_at = now
         # Node name -> (address, when it was heard last).
         self.nodes = {}
-        self.inserts = inserts.Inserts()
         self.beat_at = None
         self.yielding = False
         self.step_asked = False
@@ -328,39 +327,6 @@
     ask_step(node)
 
 
-# Inserts
-
-
-def insert(node, request):
-    """Store a job together with others that wait."""
-    inserts.add(node.leader.inserts, request)
-    part = node.leader
-    # What else arrives in this turn of the loop goes into the same transaction.
-    node.loop.call_soon(lambda: _flush_inserts(node, part))
-
-
-def _flush_inserts(node, part):
-    for name, expected, writes in inserts.flush(part.inserts):
-        _send_inserts(node, part, name, expected, writes)
-
-
-def _send_inserts(node, part, name, expected, writes):
-    def done(result):
-        now = node.parts.now()
-        turned_away = node.health.is_refused(now)
-        again = inserts.finish(part.inserts, now, name, result, turned_away)
-        if again:
-            batch = part.inserts.parts[name].batch
-            node.loop.call_later(
-                RETRY_S,
-                lambda: _send_inserts(node, part, name, *inserts.entries(batch)),
-            )
-        else:
-            _flush_inserts(node, part)
-
-    node.store.commit(name, expected, writes, done)
-
-
 # Questions
 
 
@@ -575,17 +541,19 @@
 
 
 def resign(node):
-    """Give leadership up and tell the other nodes."""
+    """Hand leadership to another node; without one the row runs out."""
     part = node.leader
     part.closed = True
-    state = node.leadership
-
-    def done(result):
-        log("info", "resigned", result=type(result).__name__)
-        for name, (address, _) in part.nodes.items():
-            if name != node.settings.node:
-                node.peers.send(address, LeaderResigned(part.token))
-
-    effect = node.parts.resignation(state)
     node.leader = None
-    node.parts.write_leader(node, effect, done)
+    node.parts.step_down(node)
+    heard = [
+        (heard_at, address)
+        for name, (address, heard_at) in part.nodes.items()
+        if name != node.settings.node
+    ]
+    if not heard:
+        log("warning", "resigned", successor=None)
+        return
+    _, address = max(heard)
+    log("info", "resigned", successor=address)
+    node.peers.send(address, LeaderResigned(part.token))
--- a/cornelward/platform/compose.py
+++ b/cornelward/platform/compose.py
@@ -9,7 +9,7 @@
 from .. import node_jobs, node_leader
 from ..http_client import HttpClient
 from ..http_server import HttpServer
-from ..leadership import resign
+from ..leadership import step_down
 from ..loop import Loop
 from ..metrics import new_metrics
 from ..peers import Peers
@@ -40,13 +40,12 @@
     decode_job: Any
     decode_worker: Any
     leader_accepts: Any
-    leader_inserts: Any
     leader_state: Any
     leader_cancels: Any
     note_pending: Any
     lose_leadership: Any
-    resignation: Any
-    write_leader: Any
+    step_down: Any
+    ask: Any
 
 
 def _address(text):
@@ -104,13 +103,12 @@
         decode_job=decode_job,
         decode_worker=decode_worker,
         leader_accepts=node_leader.job_accepted,
-        leader_inserts=node_leader.insert,
         leader_state=node_leader.state_of,
         leader_cancels=node_leader.cancel,
         note_pending=node_jobs.note_pending,
         lose_leadership=shell.lose_leadership,
-        resignation=resign,
-        write_leader=shell._write_leader,
+        step_down=lambda node: step_down(node.leadership, shell.clock()),
+        ask=node_jobs.ask,
     )
     node = shell.Node(parts, settings, incarnation, random.Random(os.urandom(16)))
     holder.append(node)
