Lead until the successor has taken over; insert nothing alone on a slow store

Change: a leader that stops asks one node to take over, renews no more and goes on until it is fenced off; without a leader, nodes wait with inserts while the store is slow. Ruled out: telling all nodes at once (claims at the same time).

--- a/cornelward/leadership.py
+++ b/cornelward/leadership.py
@@ -128,6 +128,9 @@
     if state.busy:
         return []
     if state.role == LEADER:
+        if state.leaving:
+            # A renewal would make the successor's claim fail.
+            return []
         if state.asked_at is None or now - state.asked_at >= RENEW_S:
             state.busy = True
             state.asked_at = now
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -347,7 +347,7 @@
     drained = passed >= STOP_ACCEPTING_S and node.parts.callers.is_drained()
     if passed >= STOP_ACCEPTING_S:
         node.parts.callers.stop_accepting()
-    if late or (drained and not node_jobs.is_busy(node)):
+    if late or (drained and node.leader is None and not node_jobs.is_busy(node)):
         node.stopped = True
         log("info", "stopped", late=late)
         node.loop.stop()
--- a/cornelward/node_inserts.py
+++ b/cornelward/node_inserts.py
@@ -45,16 +45,35 @@
 
 def store_job(node, spec, value, until, on_outcome):
     """Store a job; ``on_outcome`` gets ACCEPTED, REFUSED or UNKNOWN by ``until``."""
-    submission = Submission(spec, value, until)
+    _route(node, Submission(spec, value, until), on_outcome)
+
+
+def _route(node, submission, on_outcome):
     now = node.parts.now()
     if is_isolated(node, now):
-        on_outcome(REFUSED)
+        on_outcome(UNKNOWN if submission.uncertain else REFUSED)
     elif node.leader is not None and not node.health.is_out(now):
         _insert(node, submission, on_outcome)
     elif node.leadership.leader_address:
         _insert_by_peer(node, submission, on_outcome)
     else:
-        _insert(node, submission, on_outcome)
+        _insert_alone(node, submission, on_outcome)
+
+
+def _insert_alone(node, submission, on_outcome):
+    """Store the job without a leader, unless the store is slow.
+
+    Transactions of all nodes would then fill the queues of the partitions, and the
+    next leader's fences would wait behind them.
+    """
+    now = node.parts.now()
+    if not node.health.is_slow:
+        _insert(node, submission._replace(by_peer=True), on_outcome)
+    elif now + RETRY_S >= submission.until:
+        on_outcome(UNKNOWN if submission.uncertain else REFUSED)
+    else:
+        tried = submission._replace(by_peer=False)
+        node.loop.call_later(RETRY_S, lambda: _route(node, tried, on_outcome))
 
 
 def insert_for_peer(node, value, limit_s, on_outcome):
@@ -124,7 +143,7 @@
         elif now >= tried.until or node.health.is_out(now):
             on_outcome(UNKNOWN if uncertain else REFUSED)
         else:
-            _insert(node, tried._replace(uncertain=uncertain), on_outcome)
+            _insert_alone(node, tried._replace(uncertain=uncertain), on_outcome)
 
     if not to_leader and not peers:
         replied(REFUSED)
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -47,7 +47,7 @@
 ANSWER_MARGIN_S = 0.15
 LEADER_ANSWER_S = 0.35
 # A leader whose beats stop for this long is not waited for.
-LEADER_SILENT_S = 1.2
+LEADER_SILENT_S = 0.8
 CANCEL_ANSWER_S = 1.2
 # Counts of waiting jobs are given out while they are younger than this.
 PENDING_AGE_S = 1.8
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -28,6 +28,9 @@
 LEASE_S = 6.0
 # Drift and kill time on top of a lease that a former leader gave.
 UNKNOWN_MARGIN_S = 0.6
+# A successor that has not taken over by then is not waited for: on a slow store its
+# claim and its fences take some 1.5 s.
+HANDOVER_S = 2.0
 CANCEL_SUFFIX = ".cancel"
 # Key of the workers' registry beside the partitions, in what a takeover reads.
 REGISTRY = "registry"
@@ -43,6 +46,9 @@
         self.begun_at = now
         # Node name -> (address, when it was heard last).
         self.nodes = {}
+        # Nodes that were asked to take over, and when the last one was.
+        self.asked = set()
+        self.asked_at = None
         self.beat_at = None
         self.yielding = False
         self.step_asked = False
@@ -398,9 +404,11 @@
 def tick(node):
     """Run what is due by time."""
     part = node.leader
+    now = node.parts.now()
+    if part.asked_at is not None and now - part.asked_at >= HANDOVER_S:
+        resign(node)
     if part.core is None or part.closed:
         return
-    now = node.parts.now()
     yielding = node.health.is_refused(now)
     if yielding and not part.yielding:
         log("warning", "store_refuses", failing_s=round(node.health.failing_s(now), 2))
@@ -541,19 +549,23 @@
 
 
 def resign(node):
-    """Hand leadership to another node; without one the row runs out."""
+    """Let another node take over; this one goes on until it is fenced off.
+
+    One successor at a time is told: all of them would claim at once.
+    """
     part = node.leader
-    part.closed = True
-    node.leader = None
-    node.parts.step_down(node)
-    heard = [
+    now = node.parts.now()
+    part.asked_at = now
+    others = sorted(
         (heard_at, address)
         for name, (address, heard_at) in part.nodes.items()
-        if name != node.settings.node
-    ]
-    if not heard:
+        if name != node.settings.node and address not in part.asked
+    )
+    if not others:
         log("warning", "resigned", successor=None)
+        node.parts.lose_leadership(node, "no node to hand over to")
         return
-    _, address = max(heard)
-    log("info", "resigned", successor=address)
+    _, address = others[-1]
+    part.asked.add(address)
+    log("info", "resigning", successor=address)
     node.peers.send(address, LeaderResigned(part.token))
--- a/cornelward/platform/compose.py
+++ b/cornelward/platform/compose.py
@@ -92,7 +92,9 @@
     parts = Parts(
         loop=loop,
         now=shell.clock,
-        store=connect_store(client, settings.store_address, shell.clock, observe_store),
+        store=connect_store(
+            client, settings.store_address, shell.clock, observe_store, health.note_time
+        ),
         health=health,
         peers=peers,
         callers=callers,
--- a/cornelward/platform/store.py
+++ b/cornelward/platform/store.py
@@ -104,8 +104,12 @@
         self.at = self.now_s = None
 
 
-def connect_store(client, addr, now, observe):
-    """Return the Store at ``addr``; ``observe(operation, outcome)`` hears each call."""
+def connect_store(client, addr, now, observe, observe_time):
+    """Return the Store at ``addr``.
+
+    ``observe(operation, outcome)`` hears each call, ``observe_time(seconds)`` how long
+    each answered commit or read took.
+    """
     clock = _Clock()
     patience = {"commit": _Patience(), "read": _Patience()}
 
@@ -129,6 +133,7 @@
                 )
             if limits is not None and (timed_out or result.status in (200, 412)):
                 limits.note(taken_s, not timed_out)
+                observe_time(taken_s)
             if timed_out:
                 # Other connections may have gone silent with this one.
                 client.close_idle(addr)
--- a/cornelward/store_health.py
+++ b/cornelward/store_health.py
@@ -9,6 +9,8 @@
 REFUSED_S = 0.25
 # Failures for this long are an outage: what was not sent yet need not be tried.
 OUTAGE_S = 0.5
+# Answers take some 5 ms beside the way, which is 20 ms at most.
+SLOW_S = 0.12
 
 
 class StoreHealth:
@@ -18,6 +20,11 @@
         self.failures = 0
         self.refusals = 0
         self.failing_since = None
+        self.is_slow = False
+
+    def note_time(self, taken_s):
+        """Take in how long the answer to a call of any kind but a feed took."""
+        self.is_slow = taken_s > SLOW_S
 
     def note(self, now, outcome):
         """Take in the outcome of a call: ``refused``, ``unknown`` or an answer."""
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -113,3 +113,11 @@
     still = leadership.renewal_answered(follower, 1.1, renewal, "lost", 12)
     assert_that(still, Is(False))
     assert_that(follower.role, Equals(leadership.FOLLOWER))
+
+
+def test_leader_that_leaves_does_not_renew(follower):
+    # Its renewal would make the claim of the successor fail.
+    effects = leadership.row_read(follower, 0.1, (None, 0))
+    leadership.claim_answered(follower, 0.2, effects[0].row, 9)
+    follower.leaving = True
+    assert_that(leadership.tick(follower, 5.0), Equals([]))
