Connect anew to nodes that have started again; leave leaving nodes alone

Change: a new incarnation heard from a node drops the old connection, and so does a follower that hears no beats; nodes that are stopping are neither asked to take over nor to ask for advice.

--- a/cornelward/messages.py
+++ b/cornelward/messages.py
@@ -146,9 +146,13 @@
 
 
 class LeaderHello(NamedTuple):
-    """A node tells the leader where it is; also the answer to a beat."""
+    """A node tells the leader where it is; also the answer to a beat.
+
+    A node that is ``leaving`` takes on nothing for the leader.
+    """
 
     address: str
+    leaving: bool = False
 
 
 class LeaderResigned(NamedTuple):
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -66,6 +66,8 @@
         self.leader = None
         self.intake = node_jobs.Intake()
         self.inserts = inserts.Inserts()
+        # Node name -> incarnation of the last message.
+        self.incarnations = {}
         # When the last message of another node arrived.
         self.heard_at = clock()
         self.stopping_at = None
@@ -168,8 +170,11 @@
         for effect in leadership.row_read(node.leadership, clock(), found):
             carry_out(node, effect)
         address = node.leadership.leader_address
-        if address and address not in (before, node.address):
-            node.peers.send(address, LeaderHello(node.address))
+        if address and address != node.address:
+            if address == before:
+                # No beats: this connection may have gone silent.
+                node.peers.forget(address)
+            _say_hello(node, address)
 
     node.store.read("leader", "", done)
 
@@ -251,12 +256,30 @@
         return
     node_jobs.note_pending(node, beat.pending)
     node.intake.peers = [a for a in beat.nodes if a != node.address]
-    node.peers.send(beat.address, LeaderHello(node.address))
+    _note_incarnation(node, envelope, beat.address)
+    _say_hello(node, beat.address)
+
+
+def _say_hello(node, address):
+    leaving = node.stopping_at is not None
+    node.peers.send(address, LeaderHello(node.address, leaving))
+
+
+def _note_incarnation(node, envelope, address):
+    """Connect anew to a node that has started again.
+
+    The dialer to its former life may wait seconds before it tries again.
+    """
+    known = node.incarnations.get(envelope.sender)
+    node.incarnations[envelope.sender] = envelope.incarnation
+    if known is not None and known != envelope.incarnation:
+        node.peers.forget(address)
 
 
 def _on_hello(node, envelope, hello):
+    _note_incarnation(node, envelope, hello.address)
     if node.leader is not None:
-        node_leader.node_heard(node, envelope.sender, hello.address)
+        node_leader.node_heard(node, envelope.sender, hello)
 
 
 def _on_resigned(node, envelope, message):
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -46,6 +46,7 @@
         self.begun_at = now
         # Node name -> (address, when it was heard last).
         self.nodes = {}
+        self.leaving = set()
         # Nodes that were asked to take over, and when the last one was.
         self.asked = set()
         self.asked_at = None
@@ -365,9 +366,14 @@
         ask_step(node)
 
 
-def node_heard(node, name, address):
+def node_heard(node, name, hello):
     """Note that a node is alive."""
-    node.leader.nodes[name] = (address, node.parts.now())
+    part = node.leader
+    part.nodes[name] = (hello.address, node.parts.now())
+    if hello.leaving:
+        part.leaving.add(name)
+    else:
+        part.leaving.discard(name)
 
 
 # Effects
@@ -426,7 +432,8 @@
         if heard_at is not None and now - heard_at > NODE_SILENT_S:
             del part.nodes[name]
             node.peers.forget(address)
-    advising.set_nodes(part.core.advising, part.nodes)
+    advisers = [name for name in part.nodes if name not in part.leaving]
+    advising.set_nodes(part.core.advising, advisers)
     pending = dispatch.pending_by_queue(part.core)
     node.parts.note_pending(node, pending)
     addresses = [address for address, _ in part.nodes.values()]
@@ -559,7 +566,9 @@
     others = sorted(
         (heard_at, address)
         for name, (address, heard_at) in part.nodes.items()
-        if name != node.settings.node and address not in part.asked
+        if name != node.settings.node
+        and name not in part.leaving
+        and address not in part.asked
     )
     if not others:
         log("warning", "resigned", successor=None)
