--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -49,6 +49,7 @@
         self.leaving = set()
         # Nodes that were asked to take over, and when the last one was.
         self.asked = set()
+        self.successor = None
         self.asked_at = None
         self.beat_at = None
         self.yielding = False
@@ -436,15 +437,17 @@
     advising.set_nodes(part.core.advising, advisers)
     pending = dispatch.pending_by_queue(part.core)
     node.parts.note_pending(node, pending)
-    addresses = [address for address, _ in part.nodes.values()]
+    addresses = tuple(address for address, _ in part.nodes.values())
     node.intake.peers = [a for a in addresses if a != node.address]
     store_age_s = now - node.leadership.renewed_at
     if part.yielding:
         store_age_s = max(store_age_s, leadership.STORE_AGE_S)
-    beat = LeaderBeat(node.address, part.token, store_age_s, pending, tuple(addresses))
-    for name, (address, _) in part.nodes.items():
-        if name != node.settings.node:
-            node.peers.send(address, beat)
+    for address in node.intake.peers:
+        # The successor keeps trying until it has the row, whatever becomes of a claim.
+        yields = address == part.successor
+        age_s = leadership.STORE_AGE_S if yields else store_age_s
+        beat = LeaderBeat(node.address, part.token, age_s, pending, addresses)
+        node.peers.send(address, beat)
 
 
 def _commit(node, part, effect):
@@ -576,5 +579,6 @@
         return
     _, address = others[-1]
     part.asked.add(address)
+    part.successor = address
     log("info", "resigning", successor=address)
     node.peers.send(address, LeaderResigned(part.token))
