--- a/cornelward/cli.py
+++ b/cornelward/cli.py
@@ -34,6 +34,7 @@
     RequestError,
     SettingsError,
 )
+from .explain import explain, read_events
 from .object_schema import KINDS
 from .objects import check_objects, require_valid
 from .operator_client import UNREACHABLE, EntryError, connect_operator
@@ -300,6 +301,28 @@
         return EXIT_OK
 
 
+class ExplainCommand(_BaseCommand):
+    """Shows the life of one job from logs."""
+
+    name = "explain"
+    description = "Print the life of a job from log files, or from standard input."
+    arguments = [  # noqa: RUF012
+        argument("id", "The job's id."),
+        argument("logs", "Log files of any processes.", optional=True, multiple=True),
+    ]
+
+    def handle(self):
+        lines = []
+        for path in self.argument("logs"):
+            with open(path, encoding="utf-8", errors="replace") as file:
+                lines += file.readlines()
+        if not self.argument("logs"):
+            lines = sys.stdin.readlines()
+        for text in explain(read_events(lines), self.argument("id")):
+            self.io.write_line(printable(text), type=Type.RAW)
+        return EXIT_OK
+
+
 def _summary(obj):
     return " ".join(
         f"{name}={printable(value)}"
@@ -348,6 +371,7 @@
         StatusCommand,
         CancelCommand,
         DumpCommand,
+        ExplainCommand,
     ):
         app.add(cls())
     return app
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -19,7 +19,7 @@
     "void",
 ]
 
-log = get_logger("runs")
+log = get_logger("dispatch_runs")
 
 # Pause before a stop without an answer is sent again, in seconds.
 STOP_RETRY_S = 0.3
--- a/cornelward/node_inserts.py
+++ b/cornelward/node_inserts.py
@@ -15,7 +15,7 @@
 
 __all__ = ["insert_for_peer", "store_job"]
 
-log = get_logger("inserts")
+log = get_logger("node_inserts")
 
 RETRY_S = 0.2
 # A peer that does not lead is waited for this long.
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -38,7 +38,7 @@
     "tick",
 ]
 
-log = get_logger("jobs")
+log = get_logger("node_jobs")
 
 FINAL = (COMPLETED, FAILED, CANCELLED)
 # A caller that names no deadline waits this long.
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -12,7 +12,7 @@
 
 __all__ = ["LeaderPart", "cancel", "close", "job_accepted", "state_of", "take_over"]
 
-log = get_logger("leader")
+log = get_logger("node_leader")
 
 BEAT_S = 0.3
 # A node that was not heard for this long gets no questions and no beats.
--- a/cornelward/platform/__main__.py
+++ b/cornelward/platform/__main__.py
@@ -22,7 +22,7 @@
     path = os.environ.get(SETTINGS_VARIABLE, "/etc/cornelward/settings.toml")
     try:
         settings = load_node_settings(path)
-        setup_logging("info", "-", node=settings.node)
+        setup_logging("info", "stdout", node=settings.node)
         node = build_node(settings)
     except SettingsError as exc:
         print(f"cornelward-node: {exc.message}", file=sys.stderr)
