--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -10,8 +10,9 @@
 from . import advising, commits, planning
 from . import staged_jobs as jobs
 from . import workers as table
-from .dispatch_effects import Look, Start, Tell
-from .dispatch_runs import request_stop, stop_retries
+from .dispatch_effects import Start, Tell
+from .dispatch_looks import drop_lost_workers, send_looks
+from .dispatch_runs import request_stop, stop_retries, void
 from .log import get_logger
 from .staged_jobs import (
     CANCELLED,
@@ -37,11 +38,6 @@
 
 log = get_logger("dispatch")
 
-# How long a worker may hold back the answer to a look, in seconds.
-LOOK_WAIT_S = 1.0
-# Pause between looks that failed, and between those whose ends wait for the store.
-LOOK_RETRY_S = 0.3
-LOOK_PACE_S = 0.8
 # The first steps of the queue keep fresh tickets while they wait for room.
 STEPS_WITH_TICKETS = 8
 
@@ -234,8 +230,6 @@
     worker = state.workers.get(run.worker)
     if run.state == table.STOPPING or worker is None or run.job.outcome is not None:
         # Never sent, so nothing is left of it.
-        from .dispatch_runs import void
-
         void(state, now, run, "withdrawn")
         return
     run.state = table.SENT
@@ -263,7 +257,7 @@
     """Run the systems that are due; returns when to call again, in seconds."""
     _open_occurrences(state, wall_now)
     advising.drop_late(state.advising, now)
-    _drop_lost_workers(state, now)
+    drop_lost_workers(state, now)
     if state.needs_plan:
         state.needs_plan = False
         _plan(state, now)
@@ -272,7 +266,7 @@
         commit = commits.flush(writer, now)
         if commit is not None:
             state.effects.append(commit)
-    _look_due(state, now)
+    send_looks(state, now)
 
 
 def _open_occurrences(state, wall_now):
@@ -285,56 +279,6 @@
                 state.needs_plan = True
 
 
-def _drop_lost_workers(state, now):
-    from .dispatch_runs import void
-
-    for worker in list(state.workers.values()):
-        silent = worker.look_failed or not worker.info.address
-        if worker.runs and silent and now >= worker.lease_ends_at:
-            log(
-                "warning", "lease_ran_out", worker=worker.info.id, runs=len(worker.runs)
-            )
-            for run in list(worker.runs.values()):
-                void(state, now, run, "lapsed")
-        if not worker.listed and not worker.runs and not worker.looking:
-            del state.workers[worker.info.id]
-
-
-def _look_due(state, now):
-    for worker in state.workers.values():
-        if worker.looking or not worker.info.address:
-            continue
-        never = worker.answered_at is None and worker.listed
-        acks = worker.durable_end > worker.sent_end
-        if not (worker.runs or worker.strangers or never or acks):
-            continue
-        pause = 0.0
-        if worker.look_failed:
-            pause = LOOK_RETRY_S
-        elif worker.open_ends and not acks:
-            pause = LOOK_PACE_S
-        if now - worker.last_look_at < pause:
-            continue
-        _send_look(state, now, worker)
-
-
-def _send_look(state, now, worker):
-    worker.looking = True
-    worker.last_look_at = now
-    worker.sent_end = worker.durable_end
-    deadline = None
-    # Without answers the lease has to run out some time: a look that got none may have
-    # extended it. Before its first answer only the registry told the worker's clock.
-    if worker.answered_at is not None and worker.runs and not worker.look_failed:
-        deadline = table.extend_lease(worker, now, state.cfg["lease_s"])
-    waits = worker.runs and not worker.open_ends and worker.answered_at is not None
-    wait_s = LOOK_WAIT_S if waits and not worker.look_failed else 0.0
-    info = worker.info
-    state.effects.append(
-        Look(info.id, info.address, deadline, worker.durable_end, wait_s)
-    )
-
-
 def _plan(state, now):
     usable = [w for w in state.workers.values() if table.is_usable(w, now)]
     room = planning.Room(usable)
--- a/cornelward/explain.py
+++ b/cornelward/explain.py
@@ -14,7 +14,7 @@
 SHARED = (
     "node.leadership_claimed",
     "node.leadership_lost",
-    "node_leader.leading",
+    "node_takeover.leading",
     "node_leader.store_refuses",
     "log.dropped",
 )
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -5,7 +5,7 @@
 
 import time
 
-from . import inserts, leadership, node_inserts, node_jobs, node_leader
+from . import inserts, leadership, node_inserts, node_jobs, node_leader, node_takeover
 from .commits import Applied, Refused, Rows, Unknown
 from .dispatch_effects import RowWrite
 from .log import get_logger
@@ -190,7 +190,7 @@
         version = result.version if isinstance(result, Applied) else None
         if leadership.claim_answered(node.leadership, clock(), effect.row, version):
             log("info", "leadership_claimed", token=effect.row.token)
-            node_leader.take_over(node, effect.row.token)
+            node_takeover.take_over(node, effect.row.token)
 
     _write_leader(node, effect, done)
 
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -1,39 +1,35 @@
-"""The leader's part of a node: takeover, and effects of the dispatcher's core."""
+"""The leader's part of a node: effects of the dispatcher's core, beats, questions."""
 
-import functools
 import time
 
 from . import advising, dispatch, dispatch_runs, leadership
-from .commits import PARTS, Applied, Refused, Rows, Unknown
-from .dispatch_effects import RowWrite
+from .commits import Applied, Rows
 from .log import get_logger
 from .messages import AdviceRequest, LeaderBeat, LeaderResigned
-from .staged_jobs import decode_record, decode_spec
-
-__all__ = ["LeaderPart", "cancel", "close", "job_accepted", "state_of", "take_over"]
+from .staged_jobs import decode_spec
+
+__all__ = [
+    "LeaderPart",
+    "ask_step",
+    "beat",
+    "cancel",
+    "close",
+    "job_accepted",
+    "state_of",
+]
 
 log = get_logger("node_leader")
 
 BEAT_S = 0.3
 # A node that was not heard for this long gets no questions and no beats.
 NODE_SILENT_S = 2.0
-# The registry changes with each heartbeat of a worker: one answer a while is enough.
-REGISTRY_PAUSE_S = 0.25
-JOBS_PAUSE_S = 0.8
-FEED_WAIT_S = 1.0
+# Pause after a look that was not sent.
 RETRY_S = 0.2
 # A leader that cannot reach the store holds its workers' leases this long.
 HOLD_WITHOUT_STORE_S = 12.0
-# Leases are renewed with every look; they outlive a takeover and a crash of all nodes.
-LEASE_S = 6.0
-# Drift and kill time on top of a lease that a former leader gave.
-UNKNOWN_MARGIN_S = 0.6
 # A successor that has not taken over by then is not waited for: on a slow store its
 # claim and its fences take some 1.5 s.
 HANDOVER_S = 2.0
-CANCEL_SUFFIX = ".cancel"
-# Key of the workers' registry beside the partitions, in what a takeover reads.
-REGISTRY = "registry"
 
 
 class LeaderPart:
@@ -57,265 +53,6 @@
         self.store_ok_at = now
 
 
-def take_over(node, token):
-    """Fence off the former leader, read all rows, then start to dispatch."""
-    part = LeaderPart(token, node.parts.now())
-    node.leader = part
-
-    def begin(found):
-        registry = found.pop(REGISTRY)
-        fences = {name: version for name, (version, _) in found.items()}
-        rows = {name: listings for name, (_, listings) in found.items()}
-        _begin(node, part, fences, rows, registry)
-
-    starts = {name: functools.partial(_fence, node, part, name) for name in PARTS}
-    starts[REGISTRY] = functools.partial(_read, node, part, "servers", "")
-    _gather(starts, begin)
-
-
-def _gather(starts, on_done):
-    """Run ``starts[name](on_result)`` side by side; ``on_done({name: result})``."""
-    found = {}
-
-    def take(name, result):
-        found[name] = result
-        if len(found) == len(starts):
-            on_done(found)
-
-    for name, start in starts.items():
-        start(functools.partial(take, name))
-
-
-def _read(node, part, table, name, on_done):
-    """Read a table until that succeeds or the leadership ends."""
-
-    def done(listing):
-        if part.closed:
-            return
-        if isinstance(listing, Refused | Unknown):
-            _retry(node, part, lambda: _read(node, part, table, name, on_done))
-        else:
-            on_done(listing)
-
-    node.store.read(table, name, done)
-
-
-def _retry(node, part, function):
-    def run():
-        if not part.closed:
-            function()
-
-    node.loop.call_later(RETRY_S, run)
-
-
-def _fence(node, part, name, on_done):
-    """Replace a partition's fence, then read it: ``on_done((version, listings))``."""
-    value = str(part.token).encode()
-
-    def again():
-        _fence(node, part, name, on_done)
-
-    def written(result):
-        if part.closed:
-            return
-        if isinstance(result, Applied):
-            _list_part(node, part, name, result.version, on_done)
-        else:
-            _retry(node, part, again)
-
-    def read(listing):
-        if part.closed:
-            return
-        if isinstance(listing, Refused | Unknown):
-            _retry(node, part, again)
-            return
-        row = next((r for r in listing.rows if r.key == "main"), None)
-        token = int(row.value) if row is not None else 0
-        if token > part.token:
-            node.parts.lose_leadership(node, "a later leader has set its fence")
-            return
-        if token == part.token:
-            # Our own write, whose answer was lost.
-            _list_part(node, part, name, row.version, on_done)
-            return
-        expected = [("fence", "main", row.version if row else 0)]
-        writes = [RowWrite("fence", "main", value)]
-        node.store.commit(name, expected, writes, written)
-
-    node.store.read("fence", name, read)
-
-
-def _list_part(node, part, name, fence_version, on_done):
-    """Read a partition that is fenced: only inserts still change it."""
-    starts = {
-        table: functools.partial(_read, node, part, table, name)
-        for table in ("jobs", "runs", "done")
-    }
-    _gather(starts, lambda listings: on_done((fence_version, listings)))
-
-
-def _begin(node, part, fences, rows, registry):
-    now = node.parts.now()
-    settings = node.settings
-    cfg = {
-        "lease_s": min(LEASE_S, settings.longest_lease_s),
-        "longest_lease_s": settings.longest_lease_s,
-        "unknown_lease_s": HOLD_WITHOUT_STORE_S
-        + settings.longest_lease_s * 1.02
-        + UNKNOWN_MARGIN_S,
-    }
-    core = dispatch.Dispatcher(part.token, fences, cfg, now)
-    part.core = core
-    part.store_ok_at = now
-    set_config(node)
-    dispatch.workers_seen(core, now, _workers(node, registry.rows), complete=True)
-    for listings in rows.values():
-        _restore(node, core, now, listings)
-    part.nodes[node.settings.node] = (node.address, None)
-    log(
-        "info",
-        "leading",
-        token=part.token,
-        jobs=len(core.jobs),
-        workers=len(core.workers),
-        after_ms=round((now - part.begun_at) * 1000),
-    )
-    _follow_registry(node, part, registry.version)
-    _follow_jobs(node, part, min(r["jobs"].version for r in rows.values()))
-    _beat(node, part, now)
-    ask_step(node)
-
-
-def _restore(node, core, now, listings):
-    records = {row.key: row for row in listings["runs"].rows}
-    cancelled = []
-    for row in listings["done"].rows:
-        core.finished[row.key] = (row.value or b"").decode()
-    for row in listings["jobs"].rows:
-        if row.key.endswith(CANCEL_SUFFIX):
-            cancelled.append(row.key.removesuffix(CANCEL_SUFFIX))
-            continue
-        spec = decode_spec(row.value) if row.value is not None else None
-        if spec is None:
-            log("error", "job_unreadable", job=row.key)
-            continue
-        accepted_at = _local_time(node, spec.accepted_at, now)
-        record_row = records.get(row.key)
-        record = decode_record(record_row.value) if record_row else None
-        if record is None:
-            dispatch.job_seen(core, now, spec, row.version, accepted_at)
-        else:
-            version = record_row.version
-            dispatch.restore_job(
-                core, spec, row.version, record, version, accepted_at, now
-            )
-    for job_id in cancelled:
-        dispatch.cancel(core, now, job_id, lambda value: None)
-
-
-def _local_time(node, accepted_at, now):
-    store_now = node.store.clock(now)
-    if not accepted_at or store_now is None:
-        return now
-    return now - max(0.0, store_now - accepted_at)
-
-
-def _workers(node, rows):
-    found = []
-    for row in rows:
-        info = node.parts.decode_worker(row.key, row.value) if row.value else None
-        if info is not None:
-            found.append(info)
-        elif row.value is not None:
-            log("debug", "registry_entry_ignored", key=row.key)
-    return found
-
-
-# Feeds
-
-
-def _follow_registry(node, part, version):
-    def done(changes):
-        if part.closed:
-            return
-        now = node.parts.now()
-        if isinstance(changes, Refused | Unknown):
-            _retry(node, part, lambda: _follow_registry(node, part, version))
-            return
-        if not hasattr(changes, "rows"):
-            _reread_registry(node, part)
-            return
-        dispatch.workers_seen(part.core, now, _workers(node, changes.rows), False)
-        for row in changes.rows:
-            if row.value is None:
-                dispatch.worker_gone(part.core, row.key)
-        ask_step(node)
-        node.loop.call_later(
-            REGISTRY_PAUSE_S, lambda: _follow_registry(node, part, changes.version)
-        )
-
-    if not part.closed:
-        node.store.follow("servers", version, FEED_WAIT_S, done)
-
-
-def _reread_registry(node, part):
-    def done(listing):
-        infos = _workers(node, listing.rows)
-        dispatch.workers_seen(part.core, node.parts.now(), infos, complete=True)
-        ask_step(node)
-        _follow_registry(node, part, listing.version)
-
-    _read(node, part, "servers", "", done)
-
-
-def _follow_jobs(node, part, version):
-    """Take in jobs and cancels of which no message arrived."""
-
-    def done(changes):
-        if part.closed:
-            return
-        if isinstance(changes, Refused | Unknown):
-            _retry(node, part, lambda: _follow_jobs(node, part, version))
-            return
-        if not hasattr(changes, "rows"):
-            _reread_jobs(node, part)
-            return
-        _take_job_rows(node, part, changes.rows)
-        node.loop.call_later(
-            JOBS_PAUSE_S, lambda: _follow_jobs(node, part, changes.version)
-        )
-
-    if not part.closed:
-        node.store.follow("jobs", version, FEED_WAIT_S, done)
-
-
-def _reread_jobs(node, part):
-    """List the jobs of all partitions again, then follow from the first listing."""
-
-    def done(listings):
-        for listing in listings.values():
-            _take_job_rows(node, part, listing.rows)
-        first = min(listing.version for listing in listings.values())
-        _follow_jobs(node, part, first)
-
-    starts = {
-        name: functools.partial(_read, node, part, "jobs", name) for name in PARTS
-    }
-    _gather(starts, done)
-
-
-def _take_job_rows(node, part, rows):
-    for row in rows:
-        if row.value is None:
-            continue
-        if row.key.endswith(CANCEL_SUFFIX):
-            job_id = row.key.removesuffix(CANCEL_SUFFIX)
-            dispatch.cancel(part.core, node.parts.now(), job_id, lambda value: None)
-        else:
-            job_accepted(node, row.value, row.version)
-    ask_step(node)
-
-
 def job_accepted(node, value, version):
     """Take in a job's row."""
     core = node.leader.core
@@ -329,12 +66,18 @@
     now = node.parts.now()
     if spec.id not in core.jobs and spec.id not in core.finished:
         log("debug", "job_seen", job=spec.id)
-    dispatch.job_seen(
-        core, now, spec, version, _local_time(node, spec.accepted_at, now)
-    )
+    dispatch.job_seen(core, now, spec, version, local_time(node, spec.accepted_at, now))
     ask_step(node)
 
 
+def local_time(node, accepted_at, now):
+    """Return a time of the store's clock on this node's clock."""
+    store_now = node.store.clock(now)
+    if not accepted_at or store_now is None:
+        return now
+    return now - max(0.0, store_now - accepted_at)
+
+
 # Questions
 
 
@@ -423,11 +166,12 @@
     if beat_due or yielding != part.yielding:
         # A node that reaches the store takes over as soon as it hears of it.
         part.yielding = yielding
-        _beat(node, part, now)
+        beat(node, part, now)
     run_step(node, part)
 
 
-def _beat(node, part, now):
+def beat(node, part, now):
+    """Tell every node that this one leads, and how it is."""
     part.beat_at = now
     for name, (address, heard_at) in list(part.nodes.items()):
         if heard_at is not None and now - heard_at > NODE_SILENT_S:
@@ -446,8 +190,8 @@
         # The successor keeps trying until it has the row, whatever becomes of a claim.
         yields = address == part.successor
         age_s = leadership.STORE_AGE_S if yields else store_age_s
-        beat = LeaderBeat(node.address, part.token, age_s, pending, addresses)
-        node.peers.send(address, beat)
+        message = LeaderBeat(node.address, part.token, age_s, pending, addresses)
+        node.peers.send(address, message)
 
 
 def _commit(node, part, effect):
