Keep the leader through an outage of the store that all nodes see

Change: a node whose own read failed within 0.7 s does not act on the leader's word that it cannot renew. Ruled out: a longer STORE_AGE_S, which would keep a leader that alone is turned away. Test: test_leader_keeps_its_row_through_an_outage_that_all_see, failed before.

--- a/cornelward/leadership.py
+++ b/cornelward/leadership.py
@@ -36,6 +36,8 @@
 JITTER_S = 0.2
 # A node with little processor time or a thin link claims only what others leave.
 WEAK_DELAY_S = 1.5
+# After an outage that this node saw too, the leader gets this long to renew.
+OUTAGE_GRACE_S = 0.7
 
 FOLLOWER, CLAIMING, LEADER = "follower", "claiming", "leader"
 
@@ -80,6 +82,8 @@
         self.weak = weak
         # When the row was first found free to be claimed.
         self.free_at = None
+        # When a read of the row failed last.
+        self.failed_at = None
         self.heard_at = now - BEAT_LOST_S
         self.store_age_s = 0.0
         self.beat_token = None
@@ -154,6 +158,8 @@
 def row_read(state, now, found):
     """Take in (value, version) of the row, (None, 0) if absent, None on failure."""
     state.busy = False
+    if found is None:
+        state.failed_at = now
     if found is None or state.role != FOLLOWER:
         return []
     value, version = found
@@ -185,8 +191,9 @@
         # Left by an earlier life of this node, or a claim whose answer was lost.
         return True
     if row.token == state.beat_token and state.store_age_s >= STORE_AGE_S:
-        # The leader says itself that it cannot renew.
-        return True
+        # The leader says itself that it cannot renew; if nobody could, it may now.
+        failed_at = state.failed_at
+        return failed_at is None or now - failed_at >= OUTAGE_GRACE_S
     return now - state.changed_at >= LEASE_S + state.jitter_s
 
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -67,6 +67,18 @@
     assert_that(leadership.row_read(follower, 1.2, (row(), 7)), HasLength(1))
 
 
+def test_leader_keeps_its_row_through_an_outage_that_all_see(follower):
+    # incidents of both sites: right after an outage another node took over from a
+    # leader that was about to renew.
+    leadership.beat_heard(follower, 1.0, "10.0.0.9:1", 0.2, 3)
+    for now in (2.0, 2.5, 3.0):
+        leadership.beat_heard(follower, now, "10.0.0.9:1", STORE_AGE_S, 3)
+        assert_that(leadership.row_read(follower, now, None), Equals([]))
+    assert_that(leadership.row_read(follower, 3.1, (row(), 7)), Equals([]))
+    late = 3.0 + leadership.OUTAGE_GRACE_S
+    assert_that(leadership.row_read(follower, late, (row(), 7)), HasLength(1))
+
+
 def test_successor_of_a_leader_that_cannot_renew_is_left_alone(follower):
     # Every node hears the beats of the former leader; the second to read the row
     # must not replace the first (leaders in turns in shahidi-ops trouble-1).
