--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -159,7 +159,16 @@
     if outcome == ACCEPTED:
         call.answer_json(200, {"state": QUEUED})
         return
-    log("warning", "submit_failed", job=spec.id, outcome=outcome)
+    now = now_of(node)
+    log(
+        "warning",
+        "submit_failed",
+        job=spec.id,
+        outcome=outcome,
+        leader=node.leadership.leader_address,
+        leader_heard_s=round(now - node.leadership.heard_at, 2),
+        store_failing_s=round(node.health.failing_s(now), 2),
+    )
     if outcome == REFUSED:
         refuse_store(node, call)
     else:
