Move tasks off a worker before it leaves

Change: what still runs when the announced time is nearly over is stopped, which saves its progress, and placed elsewhere. Ruled out: stopping at the notice; short tasks end by themselves. Test: test_tasks_leave_a_draining_worker_in_time, failed before (nothing was stopped).

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -40,6 +40,9 @@
 
 # The first steps of the queue keep fresh tickets while they wait for room.
 STEPS_WITH_TICKETS = 8
+# What a worker that leaves still runs is stopped this much ahead: the order has to reach
+# it and the end to be listed.
+LEAVE_MARGIN_S = 0.4
 
 
 class Dispatcher:
@@ -125,11 +128,12 @@
     for info in infos:
         worker = state.workers.get(info.id)
         if worker is None:
-            state.workers[info.id] = table.new_worker(info, now, state.unknown_lease_s)
+            worker = table.new_worker(info, now, state.unknown_lease_s)
+            state.workers[info.id] = worker
+            _note_drain(worker, now, info)
             log("info", "worker_seen", worker=info.id, address=info.address)
             continue
-        if worker.info.draining != info.draining:
-            log("info", "worker_draining", worker=info.id, draining=info.draining)
+        _note_drain(worker, now, info)
         if not worker.info.address:
             table.note_clock(worker, now, info.clock_s)
         worker.info, worker.listed = info, True
@@ -140,6 +144,25 @@
     state.needs_plan = True
 
 
+def _note_drain(worker, now, info):
+    if info.draining and worker.leaves_at is None:
+        log("info", "worker_draining", worker=info.id, leaves_in_s=info.leaves_in_s)
+        worker.leaves_at = now + info.leaves_in_s
+    elif not info.draining:
+        worker.leaves_at = None
+
+
+def _leave_draining_workers(state, now):
+    """Stop what will not end before a worker leaves: a stop saves its progress."""
+    ahead_s = state.cfg["stop_s"] + LEAVE_MARGIN_S
+    for worker in state.workers.values():
+        if worker.leaves_at is None or now < worker.leaves_at - ahead_s:
+            continue
+        for run in worker.runs.values():
+            if run.state in (table.ACTIVE, table.SENT):
+                request_stop(state, now, run)
+
+
 def worker_gone(state, worker_id):
     """Take in that a worker is not registered any more."""
     worker = state.workers.get(worker_id)
@@ -258,6 +281,7 @@
     _open_occurrences(state, wall_now)
     advising.drop_late(state.advising, now)
     drop_lost_workers(state, now)
+    _leave_draining_workers(state, now)
     if state.needs_plan:
         state.needs_plan = False
         _plan(state, now)
--- a/cornelward/node_takeover.py
+++ b/cornelward/node_takeover.py
@@ -133,6 +133,7 @@
     settings = node.settings
     cfg = {
         "lease_s": min(LEASE_S, settings.longest_lease_s),
+        "stop_s": settings.stop_s,
         "longest_lease_s": settings.longest_lease_s,
         "unknown_lease_s": node_leader.HOLD_WITHOUT_STORE_S
         + settings.longest_lease_s * 1.02
--- a/cornelward/workers.py
+++ b/cornelward/workers.py
@@ -108,6 +108,7 @@
         "info",
         "last_look_at",
         "lease_ends_at",
+        "leaves_at",
         "listed",
         "look_failed",
         "looking",
@@ -127,6 +128,8 @@
         self.used = [0, 0, 0]
         # Runs that the worker lists and nobody here started.
         self.strangers = set()
+        # While it drains: when it may leave, on our clock.
+        self.leaves_at = None
         self.clock_s = self.clock_at = None
         self.deadline_s = 0.0
         self.lease_ends_at = 0.0
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -315,6 +315,7 @@
             fences[part] = sim.store.put(part, "fence", "main", b"%d" % self.token)
         cfg = {
             "lease_s": LEASE_S,
+            "stop_s": STOP_S,
             "longest_lease_s": LONGEST_LEASE_S,
             "unknown_lease_s": UNKNOWN_LEASE_S,
         }
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -159,6 +159,26 @@
     assert_all_done(sim)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_tasks_leave_a_draining_worker_in_time(seed):
+    # Its leaving ends them without a checkpoint, and their lease keeps them for 6 s.
+    sim = Sim(seed, workers=3)
+    sim.fail_share = 0.0
+    sim.lead()
+    sim.submit("a" * 16, steps_of(9, estimate_s=20.0))
+    sim.run(2.0)
+    leaving = next(w for w in sim.workers.values() if w.running)
+    info = leaving.info._replace(draining=True, leaves_in_s=2.5)
+    dispatch.workers_seen(sim.leader.core, sim.now, [info], False)
+    sim.run(1.0)
+    assert_that(bool(leaving.running), Equals(True))
+    sim.run(1.4)
+    assert_that(leaving.running, Equals({}))
+    others = [k for w in sim.workers.values() for k in w.running]
+    assert_that(others, HasLength(9))
+    assert_that(sim.broken, Equals([]))
+
+
 def test_cancelled_job_stops_and_is_shown_so():
     sim = Sim(1)
     sim.lead()
