Give up on a leader that waits for a store which others reach

Change: a node whose own calls are answered stops waiting for a leader that has not renewed for 0.8 s and stores the job by itself. Tests: kept while the store is slow or out for all; given up otherwise (failed before).

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -40,8 +40,8 @@
 
 # The first steps of the queue keep fresh tickets while they wait for room.
 STEPS_WITH_TICKETS = 8
-# What a worker that leaves still runs is stopped this much ahead: the order has to reach
-# it and the end to be listed.
+# What a worker that leaves still runs is stopped this much ahead: the order has to
+# reach it and the end to be listed.
 LEAVE_MARGIN_S = 0.4
 
 
--- a/cornelward/node_inserts.py
+++ b/cornelward/node_inserts.py
@@ -13,14 +13,15 @@
 from .messages import InsertRequest, JobAccepted
 from .staged_jobs import JobSpec, decode_spec
 
-__all__ = ["insert_for_peer", "store_job"]
+__all__ = ["PEER_STORE_AGE_S", "insert_for_peer", "is_isolated", "store_job"]
 
 log = get_logger("node_inserts")
 
 RETRY_S = 0.2
 # A peer that does not lead is waited for this long.
 PEER_ANSWER_S = 1.0
-# A leader that reached the store this lately is asked first.
+# A leader that reached the store this lately is asked first: it renews its row each
+# 0.4 s and tells so each 0.3 s.
 PEER_STORE_AGE_S = 0.8
 # Other nodes send messages each 0.3 s; without any for this long this node is cut off.
 ISOLATED_S = 1.2
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -16,7 +16,7 @@
 from .inserts import ACCEPTED, REFUSED
 from .log import get_logger
 from .messages import CancelRequest, StateRequest
-from .node_inserts import is_isolated, store_job
+from .node_inserts import PEER_STORE_AGE_S, is_isolated, store_job
 from .staged_jobs import (
     CANCELLED,
     COMPLETED,
@@ -211,9 +211,12 @@
     now = now_of(node)
     state = node.leadership
     silent = now - state.heard_at >= LEADER_SILENT_S
+    # The leader waits for a store that this node reaches.
+    store_is_ours = not (node.health.is_failing or node.health.is_slow)
+    stuck = state.store_age_s >= PEER_STORE_AGE_S and store_is_ours
     for number, (_, limit, address) in list(node.intake.questions.items()):
         is_peer = address in node.intake.peers and address != state.leader_address
-        if now >= limit or (silent and not is_peer):
+        if now >= limit or ((silent or stuck) and not is_peer):
             reply_arrived(node, number, None)
 
 
--- /dev/null
+++ b/tests/test_node_jobs.py
@@ -0,0 +1,77 @@
+"""Questions to the leader: guards against callers held by a leader that is stuck."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from cornelward import node_jobs
+from cornelward.leadership import Leadership
+from cornelward.node_inserts import PEER_STORE_AGE_S
+from cornelward.store_health import StoreHealth
+
+LEADER = "10.0.0.9:1"
+
+
+@pytest.fixture
+def node():
+    state = Leadership("n1", 1, "10.0.0.1:1", 10.0, random.Random(1))
+    state.leader_address = LEADER
+    state.heard_at = 10.0
+    node = SimpleNamespace(
+        leadership=state,
+        intake=node_jobs.Intake(),
+        health=StoreHealth(),
+        now=10.1,
+        peers=SimpleNamespace(send=lambda address, message: True),
+    )
+    node.parts = SimpleNamespace(now=lambda: node.now)
+    return node
+
+
+def ask(node):
+    replies = []
+    node_jobs.ask(node, LEADER, lambda number: number, 3.0, replies.append)
+    return replies
+
+
+def test_question_is_given_up_at_its_limit(node):
+    replies = ask(node)
+    for node.now in (10.2, 12.9, 13.2):
+        node.leadership.heard_at = node.now
+        node_jobs.tick(node)
+    assert_that(replies, Equals([None]))
+
+
+def test_question_to_a_silent_leader_is_given_up(node):
+    replies = ask(node)
+    node.now = 10.0 + node_jobs.LEADER_SILENT_S
+    node_jobs.tick(node)
+    assert_that(replies, Equals([None]))
+
+
+def test_question_to_a_leader_that_lost_the_store_is_given_up(node):
+    # rsl-cornelward trouble-1, 16.5 s: 23 jobs of one window waited for it.
+    replies = ask(node)
+    node.leadership.store_age_s = PEER_STORE_AGE_S
+    node_jobs.tick(node)
+    assert_that(replies, Equals([None]))
+
+
+def test_question_is_kept_while_the_store_is_slow_for_all(node):
+    replies = ask(node)
+    node.leadership.store_age_s = PEER_STORE_AGE_S
+    node.health.note_time(0.7)
+    node_jobs.tick(node)
+    assert_that(replies, Equals([]))
+
+
+def test_question_is_kept_while_the_store_is_out_for_all(node):
+    replies = ask(node)
+    node.leadership.store_age_s = PEER_STORE_AGE_S
+    node.health.note(9.0, "unknown")
+    node.health.note(9.5, "unknown")
+    node_jobs.tick(node)
+    assert_that(replies, Equals([]))
