Survive SIGHUP

Change: a node reads its settings again, logs what differs, and goes on. Ruled out: applying them at once; addresses, limits and bounds are bound into sockets and leases, and none of them changes on today's deployments. Tests: test_hang_up_neither_ends_nor_disturbs_a_node ended the test run before.

--- a/cornelward/loop.py
+++ b/cornelward/loop.py
@@ -115,6 +115,13 @@
         """Call ``function(signal number)`` on SIGTERM and SIGINT."""
         self._on_signal = function
 
+    def on_hangup(self, function):
+        """Call ``function()`` in the loop after SIGHUP, which ends a process otherwise.
+
+        The call comes with the next timer or input.
+        """
+        signals.signal(signals.SIGHUP, lambda signo, frame: self.call_soon(function))
+
     @handler("call")
     def _on_call(self, function):
         function()
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -8,6 +8,7 @@
 from . import inserts, leadership, node_inserts, node_jobs, node_leader, node_takeover
 from .commits import Applied, Refused, Rows, Unknown
 from .dispatch_effects import RowWrite
+from .errors import SettingsError
 from .log import get_logger
 from .messages import (
     AdviceReply,
@@ -85,10 +86,31 @@
     read_config(node)
     node.loop.call_every(TICK_S, lambda: tick(node))
     node.loop.on_signal(lambda signo: begin_stop(node))
+    node.loop.on_hangup(lambda: reload_settings(node))
     settings = node.settings
     log("info", "started", node=settings.node, callers=settings.caller_address)
 
 
+def reload_settings(node):
+    """Read the settings again; what differs is logged and used from the next start.
+
+    Addresses, limits and bounds are bound into sockets and leases of the process.
+    """
+    try:
+        settings = node.parts.load_settings()
+    except SettingsError as exc:
+        log("error", "settings_unreadable", reason=exc.message)
+        return
+    changed = [
+        name
+        for name, old, new in zip(
+            settings._fields, node.settings, settings, strict=True
+        )
+        if old != new
+    ]
+    log("info", "reloaded", changed=changed)
+
+
 def is_ready(node):
     """Return whether callers should be sent here."""
     if node.config is None or node.stopping_at is not None:
--- a/cornelward/platform/__main__.py
+++ b/cornelward/platform/__main__.py
@@ -23,7 +23,7 @@
     try:
         settings = load_node_settings(path)
         setup_logging("info", "stdout", node=settings.node)
-        node = build_node(settings)
+        node = build_node(settings, load_settings=lambda: load_node_settings(path))
     except SettingsError as exc:
         print(f"cornelward-node: {exc.message}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
--- a/cornelward/platform/compose.py
+++ b/cornelward/platform/compose.py
@@ -46,6 +46,7 @@
     lose_leadership: Any
     step_down: Any
     ask: Any
+    load_settings: Any
 
 
 def _address(text):
@@ -58,8 +59,11 @@
     call.answer_json(200 if ready else 503, {"ready": ready})
 
 
-def build_node(settings, loop=None):
-    """Return a Node that is bound and starts with its loop."""
+def build_node(settings, loop=None, load_settings=None):
+    """Return a Node that is bound and starts with its loop.
+
+    ``load_settings()`` reads the settings again, after SIGHUP.
+    """
     loop = loop or Loop()
     client = HttpClient(loop)
     metrics = new_metrics()
@@ -111,6 +115,7 @@
         lose_leadership=shell.lose_leadership,
         step_down=lambda node: step_down(node.leadership, shell.clock()),
         ask=node_jobs.ask,
+        load_settings=load_settings or (lambda: settings),
     )
     node = shell.Node(parts, settings, incarnation, random.Random(os.urandom(16)))
     holder.append(node)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,11 +1,15 @@
 """Nodes on the platform's stand-in: submit, show, cancel, take over, outages."""
 
+import os
+import signal
+
 import pytest
 from fixtures_node import ADVICE, ROUTE, cell
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength
 
 from cornelward import node as shell
+from cornelward.errors import SettingsError
 
 __all__ = ["cell"]
 
@@ -208,3 +212,27 @@
         cell.wait(
             lambda node=node: cell.call(node, "GET", "/jobs/").json() == {"pending": 3}
         )
+
+
+def test_hang_up_neither_ends_nor_disturbs_a_node(cell):
+    # rsl-cornelward-grown trouble-1: SIGHUP ended 19 processes.
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        cell.begin(run_s=0.5)
+        cell.submit(cell.nodes[0], JOB, TWO_STEPS)
+        os.kill(os.getpid(), signal.SIGHUP)
+        cell.wait(completed(cell, cell.nodes[1]))
+    finally:
+        signal.signal(signal.SIGHUP, before)
+
+
+def test_settings_that_became_bad_are_logged_and_not_used(cell):
+    cell.begin(nodes=1)
+    node = cell.nodes[0]
+
+    def load():
+        raise SettingsError("settings.toml: missing field")
+
+    node.parts = node.parts._replace(load_settings=load)
+    shell.reload_settings(node)
+    assert_that(cell.submit(node, JOB, TWO_STEPS), Equals(200))
