Serve metrics and a state dump on each node; split its messages

Change: node_status.py on the last internal port; node_messages.py; settings that nothing reads are gone.

--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -5,25 +5,12 @@
 
 import time
 
-from . import inserts, leadership, node_inserts, node_jobs, node_leader, node_takeover
+from . import inserts, leadership, node_jobs, node_leader, node_takeover
 from .commits import Applied, Refused, Rows, Unknown
 from .dispatch_effects import RowWrite
 from .errors import SettingsError
 from .log import get_logger
-from .messages import (
-    AdviceReply,
-    AdviceRequest,
-    CancelReply,
-    CancelRequest,
-    InsertReply,
-    InsertRequest,
-    JobAccepted,
-    LeaderBeat,
-    LeaderHello,
-    LeaderResigned,
-    StateReply,
-    StateRequest,
-)
+from .messages import LeaderHello
 
 __all__ = ["Node", "start"]
 
@@ -202,7 +189,7 @@
             if address == before:
                 # No beats: this connection may have gone silent.
                 node.peers.forget(address)
-            _say_hello(node, address)
+            say_hello(node, address)
 
     node.store.read("leader", "", done)
 
@@ -263,119 +250,13 @@
         leadership.step_down(node.leadership, clock())
 
 
-# Messages
-
-
-def on_message(node, envelope):
-    """Take a message of another node."""
-    node.heard_at = clock()
-    handler = HANDLERS.get(type(envelope.message))
-    if handler is not None:
-        handler(node, envelope, envelope.message)
-
-
-def _on_beat(node, envelope, beat):
-    state = node.leadership
-    if node.leader is not None and beat.token > node.leader.token:
-        lose_leadership(node, "another node leads with a later token")
-    if not leadership.beat_heard(
-        state, clock(), beat.address, beat.store_age_s, beat.token
-    ):
-        return
-    node_jobs.note_pending(node, beat.pending)
-    node.intake.peers = [a for a in beat.nodes if a != node.address]
-    _note_incarnation(node, envelope, beat.address)
-    _say_hello(node, beat.address)
-
-
-def _say_hello(node, address):
+def say_hello(node, address):
+    """Tell the leader where this node is and how it is."""
     leaving = node.stopping_at is not None
     hello = LeaderHello(node.address, leaving, node.is_weak)
     node.peers.send(address, hello)
 
 
-def _note_incarnation(node, envelope, address):
-    """Connect anew to a node that has started again.
-
-    The dialer to its former life may wait seconds before it tries again.
-    """
-    known = node.incarnations.get(envelope.sender)
-    node.incarnations[envelope.sender] = envelope.incarnation
-    if known is not None and known != envelope.incarnation:
-        node.peers.forget(address)
-
-
-def _on_hello(node, envelope, hello):
-    _note_incarnation(node, envelope, hello.address)
-    if node.leader is not None:
-        node_leader.node_heard(node, envelope.sender, hello)
-
-
-def _on_resigned(node, envelope, message):
-    leadership.resigned_heard(node.leadership, clock(), message.token)
-    tick(node)
-
-
-def _on_accepted(node, envelope, message):
-    if node.leader is not None:
-        node_leader.job_accepted(node, message.spec, message.version)
-
-
-def _on_insert_request(node, envelope, message):
-    def done(outcome):
-        node.peers.send(message.address, InsertReply(message.number, outcome))
-
-    node_inserts.insert_for_peer(node, message.spec, message.limit_s, done)
-
-
-def _on_state_request(node, envelope, message):
-    state = node_leader.state_of(node, message.job_id) if node.leader else None
-    node.peers.send(message.address, StateReply(message.number, state))
-
-
-def _on_cancel_request(node, envelope, message):
-    def reply(value):
-        node.peers.send(message.address, CancelReply(message.number, value))
-
-    if node.leader is None:
-        reply(None)
-    else:
-        node_leader.cancel(node, message.job_id, reply)
-
-
-def _on_advice_request(node, envelope, message):
-    def done(approved):
-        reply = AdviceReply(message.token, message.call_id, approved)
-        node.peers.send(message.address, reply)
-
-    node.parts.ask_advice(message.step_name, message.workers, done)
-
-
-def _on_advice_reply(node, envelope, message):
-    if node.leader is not None and message.token == node.leader.token:
-        node_leader.advice_answered(node, message.call_id, message.approved)
-
-
-def _on_reply(node, envelope, message):
-    node_jobs.reply_arrived(node, message.number, message[1])
-
-
-HANDLERS = {
-    LeaderBeat: _on_beat,
-    LeaderHello: _on_hello,
-    LeaderResigned: _on_resigned,
-    InsertRequest: _on_insert_request,
-    InsertReply: _on_reply,
-    JobAccepted: _on_accepted,
-    StateRequest: _on_state_request,
-    StateReply: _on_reply,
-    CancelRequest: _on_cancel_request,
-    CancelReply: _on_reply,
-    AdviceRequest: _on_advice_request,
-    AdviceReply: _on_advice_reply,
-}
-
-
 # Stopping
 
 
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -153,15 +153,16 @@
         spec,
         value,
         until,
-        lambda outcome: _answer_submit(node, call, spec, outcome),
+        lambda outcome: _answer_submit(node, call, spec, now, outcome),
     )
 
 
-def _answer_submit(node, call, spec, outcome):
+def _answer_submit(node, call, spec, begun, outcome):
+    now = now_of(node)
+    node.parts.metrics.observe_request("submit", outcome, now - begun)
     if outcome == ACCEPTED:
         call.answer_json(200, {"state": QUEUED})
         return
-    now = now_of(node)
     log(
         "warning",
         "submit_failed",
--- /dev/null
+++ b/cornelward/node_messages.py
@@ -0,0 +1,124 @@
+"""What a node does with the messages of other nodes."""
+
+from . import leadership, node_inserts, node_jobs, node_leader
+from . import node as node_shell
+from .messages import (
+    AdviceReply,
+    AdviceRequest,
+    CancelReply,
+    CancelRequest,
+    InsertReply,
+    InsertRequest,
+    JobAccepted,
+    LeaderBeat,
+    LeaderHello,
+    LeaderResigned,
+    StateReply,
+    StateRequest,
+)
+
+__all__ = ["on_message"]
+
+
+def on_message(node, envelope):
+    """Take a message of another node."""
+    node.heard_at = node.parts.now()
+    handler = HANDLERS.get(type(envelope.message))
+    if handler is not None:
+        handler(node, envelope, envelope.message)
+
+
+def _on_beat(node, envelope, beat):
+    state = node.leadership
+    if node.leader is not None and beat.token > node.leader.token:
+        node_shell.lose_leadership(node, "another node leads with a later token")
+    if not leadership.beat_heard(
+        state, node.parts.now(), beat.address, beat.store_age_s, beat.token
+    ):
+        return
+    node_jobs.note_pending(node, beat.pending)
+    node.intake.peers = [a for a in beat.nodes if a != node.address]
+    _note_incarnation(node, envelope, beat.address)
+    node_shell.say_hello(node, beat.address)
+
+
+def _note_incarnation(node, envelope, address):
+    """Connect anew to a node that has started again.
+
+    The dialer to its former life may wait seconds before it tries again.
+    """
+    known = node.incarnations.get(envelope.sender)
+    node.incarnations[envelope.sender] = envelope.incarnation
+    if known is not None and known != envelope.incarnation:
+        node.peers.forget(address)
+
+
+def _on_hello(node, envelope, hello):
+    _note_incarnation(node, envelope, hello.address)
+    if node.leader is not None:
+        node_leader.node_heard(node, envelope.sender, hello)
+
+
+def _on_resigned(node, envelope, message):
+    leadership.resigned_heard(node.leadership, node.parts.now(), message.token)
+    node_shell.tick(node)
+
+
+def _on_accepted(node, envelope, message):
+    if node.leader is not None:
+        node_leader.job_accepted(node, message.spec, message.version)
+
+
+def _on_insert_request(node, envelope, message):
+    def done(outcome):
+        node.peers.send(message.address, InsertReply(message.number, outcome))
+
+    node_inserts.insert_for_peer(node, message.spec, message.limit_s, done)
+
+
+def _on_state_request(node, envelope, message):
+    state = node_leader.state_of(node, message.job_id) if node.leader else None
+    node.peers.send(message.address, StateReply(message.number, state))
+
+
+def _on_cancel_request(node, envelope, message):
+    def reply(value):
+        node.peers.send(message.address, CancelReply(message.number, value))
+
+    if node.leader is None:
+        reply(None)
+    else:
+        node_leader.cancel(node, message.job_id, reply)
+
+
+def _on_advice_request(node, envelope, message):
+    def done(approved):
+        reply = AdviceReply(message.token, message.call_id, approved)
+        node.peers.send(message.address, reply)
+
+    node.parts.ask_advice(message.step_name, message.workers, done)
+
+
+def _on_advice_reply(node, envelope, message):
+    if node.leader is not None and message.token == node.leader.token:
+        node_leader.advice_answered(node, message.call_id, message.approved)
+
+
+def _on_reply(node, envelope, message):
+    node_jobs.reply_arrived(node, message.number, message[1])
+
+
+HANDLERS = {
+    LeaderBeat: _on_beat,
+    LeaderHello: _on_hello,
+    LeaderResigned: _on_resigned,
+    InsertRequest: _on_insert_request,
+    InsertReply: _on_reply,
+    JobAccepted: _on_accepted,
+    StateRequest: _on_state_request,
+    StateReply: _on_reply,
+    CancelRequest: _on_cancel_request,
+    CancelReply: _on_reply,
+    AdviceRequest: _on_advice_request,
+    AdviceReply: _on_advice_reply,
+}
--- /dev/null
+++ b/cornelward/node_status.py
@@ -0,0 +1,162 @@
+"""Metrics and state dump of a node, for operators.
+
+``/metrics`` in Prometheus' text format, ``/state`` as JSON.
+"""
+
+from typing import NamedTuple
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, exposition
+
+from .dispatch import pending_by_queue
+
+__all__ = ["NodeMetrics", "dump", "new_node_metrics", "serve_status"]
+
+# From an answer of the store to a submission held to its deadline.
+BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 3, 10)
+
+
+class NodeMetrics(NamedTuple):
+    """Instruments; the functions take (operation, outcome, seconds)."""
+
+    registry: CollectorRegistry
+    observe_call: object
+    observe_request: object
+    gauges: dict
+
+
+def new_node_metrics():
+    """Return the instruments on a new registry."""
+    registry = CollectorRegistry()
+
+    def observer(name, what):
+        count = Counter(
+            f"cornelward_node_{name}",
+            f"{what}, by operation and outcome.",
+            ["operation", "outcome"],
+            registry=registry,
+        )
+        took = Histogram(
+            f"cornelward_node_{name}_seconds",
+            f"Time that {what.lower()} took, by operation.",
+            ["operation"],
+            buckets=BUCKETS_S,
+            registry=registry,
+        )
+        # labels() takes a lock and builds a key on each call; children are kept.
+        children = {}
+
+        def observe(operation, outcome, taken_s):
+            key = operation, outcome
+            pair = children.get(key)
+            if pair is None:
+                pair = children[key] = count.labels(*key), took.labels(operation)
+            pair[0].inc()
+            pair[1].observe(taken_s)
+
+        return observe
+
+    gauges = {
+        name: Gauge(f"cornelward_node_{name}", text, registry=registry)
+        for name, text in (
+            ("config_version", "Version of the configuration in force; 0 for none."),
+            ("leads", "1 while this node leads."),
+            (
+                "leader_token",
+                "Token of this node's leadership; 0 while it does not lead.",
+            ),
+            ("jobs", "Open jobs, on the leader."),
+            ("pending_jobs", "Jobs of which no task has started, on the leader."),
+            ("workers", "Workers that the leader knows."),
+            ("runs", "Runs on workers, on the leader."),
+            ("store_failing_seconds", "For how long the store has not answered."),
+        )
+    }
+    return NodeMetrics(
+        registry,
+        observer("calls", "Calls to store and workers"),
+        observer("requests", "Requests of callers"),
+        gauges,
+    )
+
+
+def serve_status(node, call):
+    """Serve one request of an operator."""
+    path = call.request.path
+    if path == "/metrics":
+        _refresh(node)
+        body = exposition.generate_latest(node.parts.metrics.registry)
+        call.answer(200, body, exposition.CONTENT_TYPE_LATEST)
+    elif path == "/state":
+        call.answer_json(200, dump(node))
+    else:
+        call.answer_json(404, {"paths": ["/metrics", "/state"]})
+
+
+def _refresh(node):
+    gauges = node.parts.metrics.gauges
+    core = node.leader.core if node.leader is not None else None
+    gauges["config_version"].set(node.config.version if node.config else 0)
+    gauges["leads"].set(core is not None)
+    gauges["leader_token"].set(node.leader.token if core else 0)
+    gauges["jobs"].set(len(core.jobs) if core else 0)
+    pending = sum(pending_by_queue(core).values()) if core else 0
+    gauges["pending_jobs"].set(pending)
+    gauges["workers"].set(len(core.workers) if core else 0)
+    runs = sum(len(w.runs) for w in core.workers.values()) if core else 0
+    gauges["runs"].set(runs)
+    gauges["store_failing_seconds"].set(node.health.failing_s(node.parts.now()))
+
+
+def dump(node):
+    """Return the node's state, JSON-ready; the leader's has workers and jobs."""
+    now, state = node.parts.now(), node.leadership
+    result = {
+        "node": node.settings.node,
+        "failure_domain": node.settings.failure_domain,
+        "incarnation": node.incarnation,
+        "config_version": node.config.version if node.config else 0,
+        "stopping": node.stopping_at is not None,
+        "role": state.role,
+        "leader": state.leader_address,
+        "leader_heard_s": round(now - state.heard_at, 3),
+        "store_failing_s": round(node.health.failing_s(now), 3),
+        "peers": node.intake.peers,
+    }
+    core = node.leader.core if node.leader is not None else None
+    if core is not None:
+        result["token"] = node.leader.token
+        result["workers"] = [_worker(w, now) for w in core.workers.values()]
+        result["jobs"] = [_job(j, now) for j in core.jobs.values()]
+    return result
+
+
+def _worker(worker, now):
+    info = worker.info
+    return {
+        "id": info.id,
+        "listed": worker.listed,
+        "draining": info.draining,
+        "used": worker.used,
+        "cpu": info.cpu,
+        "memory_mb": info.memory_mb,
+        "lease_left_s": round(worker.lease_ends_at - now, 3),
+        "looks_failed": worker.look_failed,
+        "avoided_s": round(max(0.0, worker.avoid_until - now), 3),
+        "pace": round(worker.slowness, 2),
+        "runs": [
+            {"task": r.name, "attempt": r.attempt, "state": r.state}
+            for r in worker.runs.values()
+        ],
+    }
+
+
+def _job(job, now):
+    return {
+        "id": job.spec.id,
+        "queue": job.spec.queue.name,
+        "state": job.shown,
+        "age_s": round(now - job.accepted_at, 3),
+        "objective_left_s": round(job.deadline - now, 3),
+        "done": sum(t.state == "done" for tasks in job.tasks.values() for t in tasks),
+        "tasks": sum(len(tasks) for tasks in job.tasks.values()),
+    }
--- a/cornelward/platform/compose.py
+++ b/cornelward/platform/compose.py
@@ -11,7 +11,8 @@
 from ..http_server import HttpServer
 from ..leadership import step_down
 from ..loop import Loop
-from ..metrics import new_metrics
+from ..node_messages import on_message
+from ..node_status import new_node_metrics, serve_status
 from ..peers import Peers
 from ..store_health import StoreHealth
 from .ingress import decode_config, decode_job, find_target
@@ -20,8 +21,8 @@
 
 __all__ = ["Parts", "build_node"]
 
-# Where operators read metrics and the state dump; the platform leaves it free.
-METRICS_PORT = 9464
+# Outcomes of a call that the store answered, apart from a feed that waits.
+ANSWERED = ("applied", "rows", "page")
 
 
 class Parts(NamedTuple):
@@ -29,6 +30,7 @@
 
     loop: Loop
     now: Any
+    metrics: Any
     store: Any
     health: StoreHealth
     peers: Peers
@@ -66,7 +68,7 @@
     """
     loop = loop or Loop()
     client = HttpClient(loop)
-    metrics = new_metrics()
+    metrics = new_node_metrics()
     incarnation = time.time_ns() // 1_000_000
     holder = []
     peers = Peers(
@@ -74,7 +76,7 @@
         settings.peer_address,
         settings.node,
         incarnation,
-        lambda envelope: shell.on_message(holder[0], envelope),
+        lambda envelope: on_message(holder[0], envelope),
     )
     callers = HttpServer(
         loop,
@@ -86,23 +88,28 @@
         _address(settings.ready_address),
         lambda call: _answer_ready(holder[0], call),
     )
-    observe = metrics.observe_platform
+    HttpServer(
+        loop,
+        _address(settings.status_address),
+        lambda call: serve_status(holder[0], call),
+    )
     health = StoreHealth()
 
-    def observe_store(operation, outcome):
+    def observe_store(operation, outcome, taken_s):
         health.note(shell.clock(), outcome)
-        observe(operation, outcome)
+        if outcome in ANSWERED:
+            health.note_time(taken_s)
+        metrics.observe_call(operation, outcome, taken_s)
 
     parts = Parts(
         loop=loop,
         now=shell.clock,
-        store=connect_store(
-            client, settings.store_address, shell.clock, observe_store, health.note_time
-        ),
+        metrics=metrics,
+        store=connect_store(client, settings.store_address, shell.clock, observe_store),
         health=health,
         peers=peers,
         callers=callers,
-        orders=connect_orders(client, observe),
+        orders=connect_orders(client, shell.clock, metrics.observe_call),
         ask_advice=connect_advice(client, settings.advice_address),
         find_target=find_target,
         decode_config=decode_config,
--- a/cornelward/platform/orders.py
+++ b/cornelward/platform/orders.py
@@ -37,14 +37,16 @@
     look: Any
 
 
-def connect_orders(client, observe):
-    """Return the Orders; ``observe(operation, outcome)`` hears each call."""
+def connect_orders(client, now, observe):
+    """Return the Orders; ``observe(operation, outcome, seconds)`` hears each call."""
 
     def call(operation, address, path, body, worker, timeout_s, on_done):
+        sent_at = now()
+
         def finish(result):
             if result.error == "timeout":
                 client.close_idle(address)
-            observe(operation, str(result.status or result.error))
+            observe(operation, str(result.status or result.error), now() - sent_at)
             on_done(result)
 
         headers = [("Content-Type", "application/json")]
--- a/cornelward/platform/settings.py
+++ b/cornelward/platform/settings.py
@@ -20,21 +20,17 @@
     caller_address: str
     ready_address: str
     peer_address: str
+    # Metrics and the state dump, for operators.
+    status_address: str
     store_address: str
     advice_address: str
-    # Writes and reads a second that all nodes together may make.
-    store_writes_per_s: float
-    store_reads_per_s: float
     longest_lease_s: float
     stop_s: float
-    gang_window_s: float
     # Processor cores that the instance has, and its link in Mbit/s.
     cores: float
     link_mbps: float
     # Time from SIGTERM to SIGKILL.
     grace_s: float
-    # Time for which the state of a job that is over stays readable.
-    keep_final_s: float
 
 
 def load_node_settings(path):
@@ -59,16 +55,13 @@
         caller_address=addresses["front"],
         ready_address=addresses["ready"],
         peer_address=f"{raw['ip']}:{int(raw['internal_ports'][0])}",
+        status_address=f"{raw['ip']}:{int(raw['internal_ports'][1])}",
         store_address=platform["address"],
         advice_address=raw.get("advice", ""),
-        store_writes_per_s=float(platform["writes_per_s"]),
-        store_reads_per_s=float(platform["reads_per_s"]),
         longest_lease_s=float(bounds["max_hold_ms"]) / 1000,
         stop_s=float(bounds["stop_ms"]) / 1000,
-        gang_window_s=float(bounds["gang_timeout_ms"]) / 1000,
         # The share of each core times their number.
         cores=float(limits["cpu_share"]) * limits["cores"],
         link_mbps=float(limits["link_mbps"]),
         grace_s=float(bounds["grace_s"]),
-        keep_final_s=float(bounds["status_s"]),
     )
--- a/cornelward/platform/store.py
+++ b/cornelward/platform/store.py
@@ -104,11 +104,10 @@
         self.at = self.now_s = None
 
 
-def connect_store(client, addr, now, observe, observe_time):
+def connect_store(client, addr, now, observe):
     """Return the Store at ``addr``.
 
-    ``observe(operation, outcome)`` hears each call, ``observe_time(seconds)`` how long
-    each answered commit or read took.
+    ``observe(operation, outcome, seconds)`` hears each call.
     """
     clock = _Clock()
     patience = {"commit": _Patience(), "read": _Patience()}
@@ -122,24 +121,23 @@
             timed_out = result.error == "timeout"
             taken_s = now() - sent_at
             if limits is not None and taken_s > SLOW_CALL_S:
-                outcome_name = type(outcome).__name__.strip("_").lower()
                 log(
                     "warning",
                     "slow_call",
                     operation=operation,
-                    outcome=outcome_name,
+                    outcome=type(outcome).__name__.strip("_").lower(),
                     taken_s=round(taken_s, 2),
                     limit_s=round(limits.limit_s, 2),
                 )
             if limits is not None and (timed_out or result.status in (200, 412)):
                 limits.note(taken_s, not timed_out)
-                observe_time(taken_s)
             if timed_out:
                 # Other connections may have gone silent with this one.
                 client.close_idle(addr)
             if isinstance(outcome, _Page):
                 clock.at, clock.now_s = now(), outcome.listing.now_s
-            observe(operation, type(outcome).__name__.strip("_").lower())
+            name = type(outcome).__name__.strip("_").lower()
+            observe(operation, name, taken_s)
             on_done(outcome)
 
         client.request(
--- a/tests/fixtures_node.py
+++ b/tests/fixtures_node.py
@@ -64,17 +64,14 @@
             caller_address=free_address(),
             ready_address=free_address(),
             peer_address=free_address(),
+            status_address=free_address(),
             store_address=self.cell.store.address,
             advice_address=self.cell.advice.server.address,
-            store_writes_per_s=800.0,
-            store_reads_per_s=2_000.0,
             longest_lease_s=6.0,
             stop_s=0.4,
-            gang_window_s=3.0,
             cores=2.0,
             link_mbps=1_000.0,
             grace_s=6.0,
-            keep_final_s=120.0,
         )
         self.nodes.append(build_node(settings, self.loop))
         return self.nodes[-1]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,7 +1,9 @@
 """Nodes on the platform's stand-in: submit, show, cancel, take over, outages."""
 
 import os
+import re
 import signal
+from pathlib import Path
 
 import pytest
 from fixtures_node import ADVICE, ROUTE, cell
@@ -236,3 +238,38 @@
     node.parts = node.parts._replace(load_settings=load)
     shell.reload_settings(node)
     assert_that(cell.submit(node, JOB, TWO_STEPS), Equals(200))
+
+
+def test_metrics_and_state_tell_what_the_leader_does(cell):
+    cell.begin(run_s=30.0)
+    cell.submit(cell.nodes[0], JOB, TWO_STEPS)
+    cell.wait(lambda: len(cell.cell.starts) == 2)
+    leader = cell.leader()
+    text = status_of(cell, leader, "/metrics").body.decode()
+    assert_that(text, Contains("cornelward_node_jobs 1.0"))
+    assert_that(text, Contains('cornelward_node_calls_total{operation="commit"'))
+    state = status_of(cell, leader, "/state").json()
+    assert_that([job["id"] for job in state["jobs"]], Equals([JOB]))
+    assert_that(sum(len(w["runs"]) for w in state["workers"]), Equals(2))
+    other = next(n for n in cell.nodes if n is not leader)
+    assert_that(status_of(cell, other, "/state").json()["role"], Equals("follower"))
+    assert_that(status_of(cell, other, "/x").status, Equals(404))
+
+
+def status_of(cell, node, path):
+    """Return the HttpResult of an operator's request."""
+    results = []
+    address = node.settings.status_address
+    cell.client.request(address, "GET", path, results.append, timeout_s=20.0)
+    cell.wait(lambda: results)
+    return results[0]
+
+
+def test_runbook_lists_every_metric_of_a_node(cell):
+    cell.begin(nodes=1)
+    text = status_of(cell, cell.nodes[0], "/metrics").body.decode()
+    names = set(re.findall(r"^# HELP (\w+)", text, re.M))
+    names = {n for n in names if not n.endswith("_created")}
+    page = Path(__file__).parent.parent / "docs" / "platform.md"
+    listed = set(re.findall(r"^\| `(cornelward_node_\w+)`", page.read_text(), re.M))
+    assert_that(names, Equals(listed))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -171,6 +171,7 @@
     path.write_text(SETTINGS)
     settings = load_node_settings(path)
     assert_that(settings.peer_address, Equals("10.1.0.13:7720"))
+    assert_that(settings.status_address, Equals("10.1.0.13:7735"))
     assert_that((settings.cores, settings.longest_lease_s), Equals((1.074, 10.0)))
 
 
