--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -118,7 +118,7 @@
         _take_config(node, listing.rows)
         follow_config(node, listing.version)
 
-    node.store.read("op", "", done)
+    node.store.read(node.store.config_table, "", done)
 
 
 def follow_config(node, version):
@@ -134,12 +134,12 @@
             log("warning", "config_history_lost", after=version)
             read_config(node)
 
-    node.store.follow("op", version, CONFIG_WAIT_S, done)
+    node.store.follow(node.store.config_table, version, CONFIG_WAIT_S, done)
 
 
 def _take_config(node, rows):
     for row in rows:
-        if row.key != "config" or row.value is None:
+        if row.key != node.store.config_key or row.value is None:
             continue
         cfg = node.parts.decode_config(row.value)
         if cfg is None:
--- a/cornelward/node_takeover.py
+++ b/cornelward/node_takeover.py
@@ -43,7 +43,9 @@
         _begin(node, part, fences, rows, registry)
 
     starts = {name: functools.partial(_fence, node, part, name) for name in PARTS}
-    starts[REGISTRY] = functools.partial(_read, node, part, "servers", "")
+    starts[REGISTRY] = functools.partial(
+        _read, node, part, node.store.registry_table, ""
+    )
     _gather(starts, begin)
 
 
@@ -223,7 +225,7 @@
         )
 
     if not part.closed:
-        node.store.follow("servers", version, FEED_WAIT_S, done)
+        node.store.follow(node.store.registry_table, version, FEED_WAIT_S, done)
 
 
 def _reread_registry(node, part):
@@ -233,7 +235,7 @@
         node_leader.ask_step(node)
         _follow_registry(node, part, listing.version)
 
-    _read(node, part, "servers", "", done)
+    _read(node, part, node.store.registry_table, "", done)
 
 
 def _follow_jobs(node, part, version):
--- a/cornelward/platform/orders.py
+++ b/cornelward/platform/orders.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-__all__ = ["LookReport", "Orders", "connect_advice", "connect_orders", "decode_worker"]
-
 from ..workers import WorkerInfo
 
+__all__ = ["LookReport", "Orders", "connect_advice", "connect_orders", "decode_worker"]
+
 # An executor answers at once; an order without an answer by then counts as lost.
 ORDER_TIMEOUT_S = 0.6
 # The policy service works on one call of an instance at a time.
--- a/cornelward/platform/store.py
+++ b/cornelward/platform/store.py
@@ -61,19 +61,30 @@
     """The store no longer has the changes after that version."""
 
 
+# Tables that others write: the workers' registry and the operators' configuration.
+REGISTRY_TABLE = "servers"
+CONFIG_TABLE = "op"
+# The row of the configuration; other rows of that table ask for maintenance.
+CONFIG_KEY = "config"
+
+
 class Store(NamedTuple):
     """The store's operations, as functions with ``on_done`` last.
 
     ``commit(part, expected, writes, on_done)`` gives Applied, Rows, Refused or
     Unknown; ``read(table, part, on_done, first, end)`` a Listing, Refused or Unknown;
     ``follow(table, after, wait_s, on_done)`` Changes, HistoryLost, Refused or Unknown.
-    ``clock(now)`` estimates the store's clock, or is None.
+    ``clock(now)`` estimates the store's clock, or is None. The last three name what
+    others write there.
     """
 
     commit: Any
     read: Any
     follow: Any
     clock: Any
+    registry_table: str = REGISTRY_TABLE
+    config_table: str = CONFIG_TABLE
+    config_key: str = CONFIG_KEY
 
 
 class _Patience:
