Add a fault soak of real nodes behind loopback proxies

Checked: no task runs twice, refused jobs run nothing, accepted jobs complete, no node ends by itself or passes 128 MB.

--- a/standins/cell.py
+++ b/standins/cell.py
@@ -179,6 +179,8 @@
         self.born = int(time.time() * 1000)
         self.looks = []
         self.server = HttpServer(cell.loop, LOCAL, self.handle)
+        # What the registry tells of it; a proxy's address may take its place.
+        self.address = self.server.address
         self.register()
         cell.loop.call_every(HEARTBEAT_S, self.register)
 
@@ -192,7 +194,7 @@
             return
         entry = {
             "service": self.cell.service,
-            "address": self.server.address,
+            "address": self.address,
             "zone": "z1",
             "version": "v1",
             "slots": 8,
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,69 @@
+"""The soak's proxy: bytes pass unchanged, and each disturbance does what it says."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from cornelward.http_client import HttpClient
+from cornelward.http_server import HttpServer
+from cornelward.loop import Loop
+from standins.proxy import TO_CALLER, TO_TARGET, Proxy
+
+LIMIT_S = 30
+BODY = b"x" * 200_000
+
+
+class Path:
+    """A server that echoes bodies behind a proxy, and a client."""
+
+    def __init__(self):
+        self.loop = Loop()
+        self.served = 0
+        self.server = HttpServer(self.loop, ("127.0.0.1", 0), self.echo)
+        self.proxy = Proxy(self.loop, self.server.address)
+        self.client = HttpClient(self.loop)
+
+    def echo(self, call):
+        self.served += 1
+        call.answer(200, call.request.body, "text/plain")
+
+    def call(self, timeout_s=LIMIT_S):
+        results = []
+        self.client.request(
+            self.proxy.address,
+            "POST",
+            "/",
+            results.append,
+            body=BODY,
+            timeout_s=timeout_s,
+        )
+        assert self.loop.run_until(lambda: results, LIMIT_S)
+        return results[0]
+
+
+@pytest.fixture
+def path():
+    return Path()
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.02])
+def test_bytes_pass_unchanged_and_in_order(path, delay_s):
+    path.proxy.delay_s = delay_s
+    for _ in range(3):
+        assert_that(path.call().body == BODY, Is(True))
+
+
+@pytest.mark.parametrize(("direction", "served"), [(TO_TARGET, 0), (TO_CALLER, 1)])
+def test_silent_direction_loses_bytes_and_closes_nothing(path, direction, served):
+    path.proxy.silent = frozenset({direction})
+    assert_that(path.call(timeout_s=0.3).error, Equals("timeout"))
+    assert_that(path.served, Equals(served))
+    path.proxy.calm()
+    assert_that(path.call().status, Equals(200))
+
+
+def test_refused_and_reset_connections_close(path):
+    path.call()
+    path.proxy.refuses = True
+    path.proxy.reset()
+    assert_that(path.call().error, Equals("closed"))
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -8,12 +8,13 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
 from pathlib import Path
 
-__all__ = ["Launcher", "call_json", "call_text", "wait_until"]
+__all__ = ["ROOT", "Launcher", "call_json", "call_text", "free_ports", "wait_until"]
 
 ROOT = Path(__file__).resolve().parent.parent
 READY_LIMIT_S = 30.0
@@ -36,6 +37,15 @@
         time.sleep(POLL_S)
 
 
+def free_ports(count):
+    """Return loopback ports that were free just now."""
+    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
 def call_json(address, method, path, value=None, timeout_s=5.0, headers=None):
     """Return (status, decoded body or None) of one HTTP call; raises OSError."""
     status, data = _call(address, method, path, value, timeout_s, headers)
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,471 @@
+"""Fault soak: real nodes as processes, disturbed from outside, and checked as they run.
+
+``python -m tools.soak --seed 7`` runs one seed, ``--seeds 50`` as many from there on.
+The platform's stand-in and a proxy for each connection's path run in this process; the
+nodes are ``python -m cornelward.platform``. Faults come in series and overlap: signals,
+restarts, delayed, reset, refused and silent connections, a store that is down, slow or
+loses answers, silent workers. What is checked: no task runs twice or after its end, a
+job whose every submission was refused runs nothing, an accepted job completes, no node
+ends by itself or takes too much memory.
+"""
+
+import argparse
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from cornelward.http_client import HttpClient
+from cornelward.loop import Loop
+from standins.cell import Cell
+from standins.proxy import TO_CALLER, TO_TARGET, Proxy
+
+from .launch import ROOT, free_ports
+
+__all__ = ["Soak", "main", "run_seed"]
+
+NODES, WORKERS = 3, 6
+LOAD_S = 20.0
+# A run of a task; jobs have up to eight in two steps.
+RUN_S = 0.3
+SUBMIT_EVERY_S = 0.12
+FAULT_EVERY_S = 0.7
+# Longest fault: over a takeover, over the hold of a leader without a store.
+FAULT_MAX_S = 5.0
+TRIES = 4
+RETRY_S = 0.4
+CALL_LIMIT_S = 5.0
+# After the last fault: a lease of a former leader that nobody reached, then the runs.
+SETTLE_S = 120.0
+MAX_RSS_KB = 128 * 1024
+ROUTE = {
+    "name": "q",
+    "host": "jobs.example",
+    "path_prefix": "/jobs/",
+    "service": "svc",
+    "type": "non_idempotent",
+    "timeout_ms": 3_000,
+    "latency_slo_ms": 1_000,
+    "priority": 1,
+    "max_attempts": 3,
+    "stretch": 2.0,
+}
+SETTINGS = """
+node_name = "{name}"
+zone = "z1"
+region = "r1"
+ip = "127.0.0.1"
+internal_ports = [{peer}, {status}]
+advice = "{advice}"
+[bind_addresses]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[platform]
+address = "{store}"
+[bounds]
+max_hold_ms = 6000
+stop_ms = 400
+grace_s = 6
+[limits]
+cpu_share = 1.0
+cores = 2
+link_mbps = 1000.0
+"""
+
+
+class Node:
+    """One node's process, its settings and its path to the store."""
+
+    def __init__(self, name, folder, store, advice):
+        self.name = name
+        self.folder = folder
+        self.store = store
+        front, ready, peer, status = free_ports(4)
+        self.address = f"127.0.0.1:{front}"
+        self.path = folder / f"{name}.toml"
+        text = SETTINGS.format(
+            name=name,
+            peer=peer,
+            status=status,
+            front=front,
+            ready=ready,
+            store=store.address,
+            advice=advice,
+        )
+        self.path.write_text(text, encoding="utf-8")
+        self.popen = None
+        # Set while a fault or the end of the soak has ended the process.
+        self.ended_by_us = True
+
+    def start(self):
+        """Start the process, unless it runs."""
+        if self.popen is not None and self.popen.poll() is None:
+            return
+        env = {**os.environ, "CORNELWARD_CONFIG": str(self.path)}
+        with open(self.folder / f"{self.name}.log", "ab") as output:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", "cornelward.platform"],
+                cwd=ROOT,
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+        self.ended_by_us = False
+
+    def signal(self, signo):
+        """Send a signal if the process runs."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signo)
+
+    def rss_kb(self):
+        """Return the greatest resident memory so far, 0 if the process has ended."""
+        try:
+            text = Path(f"/proc/{self.popen.pid}/status").read_text(encoding="ascii")
+        except OSError:
+            return 0
+        lines = [line for line in text.splitlines() if line.startswith("VmHWM")]
+        return int(lines[0].split()[1]) if lines else 0
+
+
+class Submitted:
+    """A job, the statuses of its submissions and the last state shown."""
+
+    def __init__(self, job_id, body):
+        self.id = job_id
+        self.body = body
+        self.statuses = []
+        self.state = None
+
+    @property
+    def is_accepted(self):
+        return 200 in self.statuses
+
+    @property
+    def is_refused(self):
+        """Return whether every submission was turned away, the outcome being known."""
+        return all(status in (429, 503) for status in self.statuses)
+
+
+class Soak:
+    """One seed's run; ``failures`` lists broken promises."""
+
+    def __init__(self, seed, folder, load_s=LOAD_S):
+        self.rng = random.Random(seed)
+        self.folder = Path(folder)
+        self.load_s = load_s
+        self.loop = Loop()
+        self.client = HttpClient(self.loop)
+        self.cell = Cell(self.loop, WORKERS, run_s=RUN_S, seed=seed)
+        self.cell.configure(1, [ROUTE])
+        self.worker_paths = [Proxy(self.loop, w.address) for w in self.workers]
+        for worker, path in zip(self.workers, self.worker_paths, strict=True):
+            worker.address = path.address
+        self.nodes = [self._make_node(f"n{i}") for i in range(NODES)]
+        self.jobs = []
+        self.events = []
+        self.failures = []
+        self.is_over = False
+
+    @property
+    def workers(self):
+        return list(self.cell.workers.values())
+
+    def _make_node(self, name):
+        path = Proxy(self.loop, self.cell.store.address)
+        return Node(name, self.folder, path, self.cell.advice.server.address)
+
+    def note(self, text):
+        """Keep a line of what was done, for the report of a failure."""
+        self.events.append(f"{self.loop.now():.2f} {text}")
+
+    def run(self):
+        """Run the load under faults, then settle; returns the failures."""
+        try:
+            for node in self.nodes:
+                node.start()
+            self._wait_serving()
+            self._submit_next()
+            self._disturb_next()
+            self.loop.run_until(lambda: False, self.load_s)
+            self.is_over = True
+            self._calm()
+            self._settle()
+        finally:
+            self._end()
+        return self.failures
+
+    def _wait_serving(self):
+        probe = Submitted("f" * 16, {"spec": "", "steps": [{"count": 1, "cpu": 10}]})
+        self._submit(probe, SETTLE_S / RETRY_S)
+        if not self.loop.run_until(lambda: probe.is_accepted, SETTLE_S):
+            self.failures.append("no node accepts a job at the start")
+
+    # Load
+
+    def _submit_next(self):
+        if self.is_over:
+            return
+        rng = self.rng
+        steps = [
+            {"count": rng.randint(1, 4), "cpu": 1_000, "mem_mb": 64, "estimate_ms": 300}
+            for _ in range(rng.randint(1, 2))
+        ]
+        if len(steps) > 1:
+            steps[1]["after"] = [0]
+        if rng.random() < 0.2:
+            steps[0]["gang"] = True
+        job = Submitted(f"{rng.getrandbits(64):016x}", {"spec": "s", "steps": steps})
+        self.jobs.append(job)
+        self._submit(job, TRIES)
+        self.loop.call_later(SUBMIT_EVERY_S, self._submit_next)
+
+    def _submit(self, job, tries):
+        """Submit a job, again with the same id while it is not accepted."""
+
+        def done(result):
+            job.statuses.append(result.status)
+            if result.status != 200 and tries > 1 and not self.is_over:
+                self.loop.call_later(RETRY_S, lambda: self._submit(job, tries - 1))
+
+        self._call("POST", job, done)
+
+    def _call(self, method, job, on_done):
+        self.client.request_json(
+            self.rng.choice(self.nodes).address,
+            method,
+            f"/jobs/{job.id}",
+            on_done,
+            value=job.body if method == "POST" else None,
+            headers=(("Host", "jobs.example"), ("Deadline-Ms", "3000")),
+            timeout_s=CALL_LIMIT_S,
+        )
+
+    # Faults
+
+    def _disturb_next(self):
+        if self.is_over:
+            return
+        fault = self.rng.choice(FAULTS)
+        lasts_s = self.rng.uniform(0.2, FAULT_MAX_S)
+        end = fault(self, self.rng)
+        self.note(f"{fault.__name__[1:]} for {lasts_s:.2f} s")
+        if end is not None:
+            self.loop.call_later(lasts_s, end)
+        self.loop.call_later(self.rng.uniform(0, 2 * FAULT_EVERY_S), self._disturb_next)
+
+    def _calm(self):
+        self.note("calm")
+        store = self.cell.store
+        store.down, store.slow_s, store.lost = False, 0.0, 0.0
+        for path in (*self.worker_paths, *(node.store for node in self.nodes)):
+            path.calm()
+        for worker in self.workers:
+            worker.silent = False
+        for node in self.nodes:
+            node.signal(signal.SIGCONT)
+            _restart(self, node)
+
+    # Checks
+
+    def _settle(self):
+        """Ask for the accepted jobs until all are over."""
+        accepted = [job for job in self.jobs if job.is_accepted]
+
+        def ask():
+            for job in accepted:
+                if job.state != "completed":
+                    self._call("GET", job, lambda result, job=job: _show(job, result))
+            self.loop.call_later(1.0, ask)
+
+        ask()
+        self.loop.run_until(
+            lambda: all(job.state == "completed" for job in accepted), SETTLE_S
+        )
+        for job in accepted:
+            if job.state != "completed":
+                self.failures.append(f"{job.id} was accepted and is {job.state}")
+        self.failures += self.cell.broken
+        started = {task.split(".")[0] for _, task, _ in self.cell.starts}
+        for job in self.jobs:
+            if job.statuses and job.is_refused and job.id in started:
+                self.failures.append(f"{job.id} was refused and ran: {job.statuses}")
+        for node in self.nodes:
+            self._check_node(node)
+
+    def _check_node(self, node):
+        code = node.popen.poll()
+        if code is not None:
+            self.failures.append(f"{node.name} ended by itself with {code}")
+        if node.rss_kb() > MAX_RSS_KB:
+            self.failures.append(f"{node.name} used {node.rss_kb()} kB")
+
+    def _end(self):
+        for node in self.nodes:
+            if node.popen is not None and node.popen.poll() is None:
+                node.popen.kill()
+                node.popen.wait()
+
+
+def _show(job, result):
+    answer = result.json() if result.status == 200 else None
+    if isinstance(answer, dict):
+        job.state = answer.get("state")
+
+
+def _restart(soak, node):
+    code = node.popen.poll()
+    if code is None:
+        return
+    if not node.ended_by_us:
+        soak.failures.append(f"{node.name} ended by itself with {code}")
+    node.start()
+
+
+def _pause(soak, rng):
+    node = rng.choice(soak.nodes)
+    node.signal(signal.SIGSTOP)
+    return lambda: node.signal(signal.SIGCONT)
+
+
+def _kill(soak, rng):
+    node = rng.choice(soak.nodes)
+    node.ended_by_us = True
+    node.signal(signal.SIGKILL)
+    return lambda: _restart(soak, node)
+
+
+def _kill_all(soak, rng):
+    for node in soak.nodes:
+        node.ended_by_us = True
+        node.signal(signal.SIGKILL)
+    return lambda: [_restart(soak, node) for node in soak.nodes]
+
+
+def _stop(soak, rng):
+    node = rng.choice(soak.nodes)
+    node.ended_by_us = True
+    node.signal(signal.SIGTERM)
+
+    def restart():
+        # A graceful stop may take longer than the fault.
+        if node.popen.poll() is None and not soak.is_over:
+            soak.loop.call_later(RETRY_S, restart)
+        else:
+            _restart(soak, node)
+
+    return restart
+
+
+def _hang_up(soak, rng):
+    rng.choice(soak.nodes).signal(signal.SIGHUP)
+
+
+def _store_down(soak, rng):
+    soak.cell.store.down = True
+    return lambda: setattr(soak.cell.store, "down", False)
+
+
+def _store_slow(soak, rng):
+    soak.cell.store.slow_s = rng.choice((0.1, 0.4))
+    return lambda: setattr(soak.cell.store, "slow_s", 0.0)
+
+
+def _store_loses_answers(soak, rng):
+    soak.cell.store.lost = rng.choice((0.1, 0.4))
+    return lambda: setattr(soak.cell.store, "lost", 0.0)
+
+
+def _store_forgets(soak, rng):
+    soak.cell.store.forgotten = True
+    return lambda: setattr(soak.cell.store, "forgotten", False)
+
+
+def _worker_silent(soak, rng):
+    worker = rng.choice(soak.workers)
+    worker.silent = True
+    return lambda: setattr(worker, "silent", False)
+
+
+def _any_path(soak, rng):
+    return rng.choice([*(node.store for node in soak.nodes), *soak.worker_paths])
+
+
+def _path_delayed(soak, rng):
+    path = _any_path(soak, rng)
+    path.delay_s = rng.choice((0.05, 0.3, 0.8))
+    return path.calm
+
+
+def _path_silent(soak, rng):
+    path = _any_path(soak, rng)
+    directions = rng.choice(((TO_TARGET,), (TO_CALLER,), (TO_TARGET, TO_CALLER)))
+    path.silent = frozenset(directions)
+    return path.calm
+
+
+def _path_refused(soak, rng):
+    path = _any_path(soak, rng)
+    path.refuses = True
+    path.reset()
+    return path.calm
+
+
+def _path_reset(soak, rng):
+    _any_path(soak, rng).reset()
+
+
+FAULTS = (
+    _pause,
+    _kill,
+    _kill_all,
+    _stop,
+    _hang_up,
+    _store_down,
+    _store_slow,
+    _store_loses_answers,
+    _store_forgets,
+    _worker_silent,
+    _path_delayed,
+    _path_silent,
+    _path_refused,
+    _path_reset,
+)
+
+
+def run_seed(seed, folder, load_s=LOAD_S):
+    """Run one seed; returns (failures, Soak)."""
+    soak = Soak(seed, folder, load_s)
+    return soak.run(), soak
+
+
+def main(argv=None):
+    """Run seeds; returns 1 if any failed."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=LOAD_S)
+    args = parser.parse_args(argv)
+    bad = 0
+    for seed in range(args.seed, args.seed + args.seeds):
+        folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+        failures, soak = run_seed(seed, folder, args.seconds)
+        accepted = sum(job.is_accepted for job in soak.jobs)
+        print(
+            f"seed {seed}: {len(soak.jobs)} jobs, {accepted} accepted,"
+            f" {len(soak.cell.starts)} starts, {len(failures)} failures",
+            flush=True,
+        )
+        if failures:
+            bad += 1
+            print("\n".join(failures[:10]))
+            print(f"logs of the nodes: {folder}; what was done:")
+            print("\n".join(soak.events), flush=True)
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
