--- a/cornelward/compose.py
+++ b/cornelward/compose.py
@@ -9,9 +9,7 @@
 import time
 from typing import NamedTuple
 
-from . import entry as entry_shell
-from . import router, task_scheduler
-from . import scheduler as scheduler_shell
+from . import entry_shell, router, scheduler_shell, task_scheduler
 from .api import make_handle
 from .entry_metrics import add_entry_collector
 from .errors import START_FAILED, CornelwardError
--- a/cornelward/config_follow.py
+++ b/cornelward/config_follow.py
@@ -15,7 +15,7 @@
 )
 from .log import get_logger
 from .messages import ConfigAnnounce, ConfigRequest
-from .platform_client import Conflict
+from .rows import Conflict
 from .verdicts import Verdict
 
 __all__ = ["ConfigFollower", "poll", "publish", "receive", "start"]
--- a/cornelward/confirmed_writes.py
+++ b/cornelward/confirmed_writes.py
@@ -1,7 +1,7 @@
 """Transactions whose lost answers are read back before anything acts on them."""
 
 from .errors import PlatformError
-from .platform_client import Conflict
+from .rows import Conflict
 
 __all__ = ["confirmed_txn"]
 
--- a/cornelward/job_requests.py
+++ b/cornelward/job_requests.py
@@ -17,7 +17,7 @@
     PlatformError,
 )
 from .messages import JobNotice
-from .platform_client import Conflict
+from .rows import Conflict
 from .verdicts import Verdict
 
 __all__ = ["cancel_job", "get_job", "job_record", "submit_job"]
--- a/cornelward/job_writes.py
+++ b/cornelward/job_writes.py
@@ -9,7 +9,7 @@
 
 from .jobs import STARTING, settle_job, to_record
 from .ownership import has_authority
-from .platform_client import Conflict
+from .rows import Conflict
 from .task_effects import ReadRow, Txn
 
 __all__ = [
--- a/cornelward/keyed.py
+++ b/cornelward/keyed.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 from .errors import CONFLICT, IN_PROGRESS, PLATFORM_UNAVAILABLE
-from .platform_client import Conflict
+from .rows import Conflict
 from .verdicts import Verdict
 
 __all__ = [
--- a/cornelward/ownership.py
+++ b/cornelward/ownership.py
@@ -5,7 +5,7 @@
 write of a former owner that was delayed on the way cannot take effect.
 """
 
-from .platform_client import Conflict
+from .rows import Conflict
 from .task_effects import LEASE_MARGIN_S, ReadRow, Txn
 
 __all__ = [
--- a/cornelward/platform_client.py
+++ b/cornelward/platform_client.py
@@ -10,26 +10,13 @@
 import msgspec
 
 from .errors import PlatformError
+from .rows import Conflict, Row
 
 __all__ = ["Conflict", "Platform", "Row", "connect_platform"]
 
 PAGE_ROWS = 500
 
 
-class Row(NamedTuple):
-    """One row of the table; ``version`` 0 means absent."""
-
-    key: str
-    value: Any
-    version: int
-
-
-class Conflict(NamedTuple):
-    """A transaction was refused; the present version of each conflicting key."""
-
-    versions: dict
-
-
 class Platform(NamedTuple):
     """The platform's operations, as functions.
 
--- a/cornelward/views.py
+++ b/cornelward/views.py
@@ -11,7 +11,7 @@
 
 from .leases import LEASE_MARGIN_S
 from .messages import HeartbeatAck, ViewAnnounce
-from .platform_client import Conflict
+from .rows import Conflict
 from .view_rows import parse_row, row_value
 
 __all__ = [
--- a/tests/fixtures_simulation.py
+++ b/tests/fixtures_simulation.py
@@ -12,8 +12,7 @@
 
 from fixtures_entry import OBJECTS
 
-from cornelward import api, config, router, settings
-from cornelward import entry as entry_shell
+from cornelward import api, config, entry_shell, router, settings
 from cornelward.compose import Common
 from cornelward.errors import CornelwardError
 from cornelward.http_client import HttpResult
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -73,11 +73,12 @@
 
 
 def test_runbook_lists_every_log_event():
-    source = {p.stem: p.read_text() for p in (ROOT / "cornelward").rglob("*.py")}
+    sources = [p.read_text() for p in (ROOT / "cornelward").rglob("*.py")]
     events = {
         f"{name}.{event}"
-        for name, text in source.items()
+        for text in sources
         for event in re.findall(r'\blog\(\s*"\w+",\s*"(\w+)"', text)
+        for name in re.findall(r'= get_logger\("(\w+)"\)', text)
     }
     listed = set(re.findall(r"`(\w+\.\w+)`", section(page("runbook"), 7)))
     assert_that(listed, Equals(events))
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -9,7 +9,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength, Is
 
-from cornelward import scheduler as shell
+from cornelward import scheduler_shell as shell
 from cornelward.compose import Common
 from cornelward.errors import PlatformError
 from cornelward.metrics import new_metrics
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -293,6 +293,9 @@
         for job in self.jobs:
             if job.statuses and job.is_refused and job.id in started:
                 self.failures.append(f"{job.id} was refused and ran: {job.statuses}")
+        self.loop.run_until(
+            lambda: not any(n.ended_by_us for n in self.nodes), SETTLE_S
+        )
         for node in self.nodes:
             self._check_node(node)
 
@@ -319,6 +322,9 @@
 def _restart(soak, node):
     code = node.popen.poll()
     if code is None:
+        if node.ended_by_us:
+            # A graceful stop may take longer than the fault.
+            soak.loop.call_later(RETRY_S, lambda: _restart(soak, node))
         return
     if not node.ended_by_us:
         soak.failures.append(f"{node.name} ended by itself with {code}")
@@ -349,15 +355,7 @@
     node = rng.choice(soak.nodes)
     node.ended_by_us = True
     node.signal(signal.SIGTERM)
-
-    def restart():
-        # A graceful stop may take longer than the fault.
-        if node.popen.poll() is None and not soak.is_over:
-            soak.loop.call_later(RETRY_S, restart)
-        else:
-            _restart(soak, node)
-
-    return restart
+    return lambda: _restart(soak, node)
 
 
 def _hang_up(soak, rng):
