--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -104,8 +104,13 @@
 
 
 def free_base():
-    """Return a hundred whose ports for the demo are free now."""
-    for base in range(20_000, 30_000, 100):
+    """Return a hundred whose ports for the demo are free now.
+
+    Each of the test processes that run side by side looks in a thousand of its own.
+    """
+    process = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    first = 20_000 + 1_000 * (process % 10)
+    for base in range(first, first + 1_000, 100):
         try:
             for port in range(base, base + PORT_SPAN):
                 with socket.socket() as sock:
