--- a/cornelward/planning.py
+++ b/cornelward/planning.py
@@ -8,7 +8,7 @@
 
 from sortedcontainers import SortedList
 
-from .workers import demand_of, free_room
+from .workers import demand_of, free_room, is_on_probation
 
 __all__ = [
     "Candidate",
@@ -151,10 +151,17 @@
 
 
 def fits(room, worker, demand):
-    """Return how many tasks of ``demand`` the worker has room for."""
+    """Return how many tasks of ``demand`` the worker may get now.
+
+    Answers a worker that fails all it gets at once, each time its avoidance ends: it
+    gets one task until one has succeeded.
+    """
     free = room.free[worker.info.id]
     counts = [have // need for have, need in zip(free, demand, strict=True) if need > 0]
-    return max(0, min(counts)) if counts else 1_000
+    count = max(0, min(counts)) if counts else 1_000
+    if is_on_probation(worker):
+        return 0 if worker.runs else min(1, count)
+    return count
 
 
 def _tasks_there(job, key):
--- a/cornelward/workers.py
+++ b/cornelward/workers.py
@@ -19,6 +19,7 @@
     "Worker",
     "WorkerInfo",
     "free_room",
+    "is_on_probation",
     "is_usable",
     "new_worker",
     "note_clock",
@@ -231,6 +232,11 @@
 FAILURES_TO_AVOID = 3
 
 
+def is_on_probation(worker):
+    """Return whether the worker failed too often and has not succeeded since."""
+    return worker.failures >= FAILURES_TO_AVOID
+
+
 def avoid(worker, now):
     """Place nothing on the worker for a time that doubles."""
     worker.avoidance_s = min(AVOID_MAX_S, max(AVOID_MIN_S, worker.avoidance_s * 2))
@@ -251,7 +257,7 @@
         _note_pace(worker, now, run)
     elif how == "failed":
         worker.failures += 1
-        if worker.failures >= FAILURES_TO_AVOID:
+        if is_on_probation(worker):
             avoid(worker, now)
 
 
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -194,6 +194,7 @@
         self.fail_share = 0.05
         # Workers that fail all that they start.
         self.failing = set()
+        self.failed_runs = 0
         self.workers = {}
         for i in range(workers):
             info = make_worker(f"w{i}", cpu=cpu, born=1)
@@ -291,6 +292,7 @@
     def run_ended(self, worker, key, how):
         if how == "done":
             self.done.add(key[0])
+        self.failed_runs += how == "failed"
 
     def end_noted(self, entry):
         if entry[3] == "done":
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -9,7 +9,7 @@
 from cornelward import dispatch, planning, waiting
 from cornelward.planning import Candidate, Room, fit_gang, fit_tasks, hold_for_gang
 from cornelward.staged_jobs import JobSpec, Queue, StepSpec, new_job
-from cornelward.workers import new_worker
+from cornelward.workers import FAILURES_TO_AVOID, new_worker
 
 
 def job_of(step, priority=1, accepted_at=0.0, job_id="a" * 16):
@@ -144,3 +144,42 @@
     # A task that fails once on the bad worker must not go there again.
     for seed in range(4):
         assert_that(outcomes_beside_a_failing_worker(seed), Equals({"completed"}))
+
+
+def test_worker_on_probation_gets_one_task_at_a_time():
+    workers = [new_worker(make_worker(f"w{i}", cpu=8_000), 0.0) for i in range(2)]
+    workers[0].failures = FAILURES_TO_AVOID
+    room = Room(workers)
+    placed = fit_tasks(room, candidate_of(StepSpec(20, 1_000, 100)), "svc")
+    assert_that(places(placed), Equals(["w0"] + ["w1"] * 8))
+
+
+def failures_on_a_bad_worker(seed):
+    """Return how many runs fail on one bad worker of four in waves above the room."""
+    sim = Sim(seed, workers=4, cpu=8_000)
+    sim.fail_share = 0.0
+    sim.failing = {"w0"}
+    sim.lead()
+    queue = Queue("b", "svc", 2, 20, 4.0, 3.0)
+    for i in range(12):
+        job_id = f"{i:016x}"
+        steps = steps_of(40, cpu=1_000, estimate_s=0.5)
+        sim.after(i * 2.0, lambda j=job_id, s=steps: sim.submit(j, s, queue))
+    sim.run(40)
+    tasks = [
+        task
+        for job in sim.leader.core.jobs.values()
+        for tasks in job.tasks.values()
+        for task in tasks
+    ]
+    assert_that(tasks, Equals([]))
+    return sim.failed_runs
+
+
+def test_probation_spares_the_runs_of_waves_beside_a_bad_worker(monkeypatch):
+    with_it = sum(failures_on_a_bad_worker(seed) for seed in range(3))
+    monkeypatch.setattr(planning, "is_on_probation", lambda worker: False)
+    without = sum(failures_on_a_bad_worker(seed) for seed in range(3))
+    # What fills the worker before its first failure cannot be spared.
+    unknown = 3 * 8
+    assert_that(2 * (with_it - unknown), LessThan(without - unknown))
