Send no start whose ticket has run out; ask again in time on a slow store

Change: a start is sent with the freshest ticket for its worker, and void without an order if that has run out. Tickets are used for a placement only if they hold for two commits as long as the last ones took; half of a ticket's time is used however slow the store is.

--- a/cornelward/advising.py
+++ b/cornelward/advising.py
@@ -9,7 +9,15 @@
 
 from .dispatch_effects import AskAdvice
 
-__all__ = ["Advising", "ask", "drop_late", "settle", "valid_tickets"]
+__all__ = [
+    "Advising",
+    "ask",
+    "drop_late",
+    "has_free_node",
+    "settle",
+    "ticket_for",
+    "valid_tickets",
+]
 
 # A call that takes longer than this counts as long, in seconds.
 LONG_CALL_S = 0.25
@@ -79,10 +87,24 @@
     return job.tickets.setdefault(key, Tickets())
 
 
-def valid_tickets(job, key, now):
-    """Return {worker id: ticket} for the tickets that hold long enough."""
+def valid_tickets(job, key, now, record_s=0.0):
+    """Return {worker id: ticket} for the tickets that hold long enough.
+
+    ``record_s`` is the time that the record of a start takes. Answers a slow store, on
+    which tickets run out before the starts are sent; half of their time is used then.
+    """
     tickets = tickets_of(job, key)
-    return {w: t for w, (t, until) in tickets.expires.items() if until > now}
+    policy = job.spec.queue.advice
+    if policy is not None:
+        record_s = min(record_s, policy.valid_s / 2)
+    least = now + record_s
+    return {w: t for w, (t, until) in tickets.expires.items() if until > least}
+
+
+def ticket_for(job, key, worker_id, now):
+    """Return the ticket for a worker, or None if it has run out by now."""
+    ticket, until = tickets_of(job, key).expires.get(worker_id, (None, 0.0))
+    return ticket if until > now else None
 
 
 def call_cost_s(policy, workers):
--- a/cornelward/commits.py
+++ b/cornelward/commits.py
@@ -70,7 +70,7 @@
 class Writer:
     """State of one partition."""
 
-    __slots__ = ("batch", "dirty", "fence_version", "part", "retry_at")
+    __slots__ = ("batch", "dirty", "fence_version", "part", "retry_at", "sent_at")
 
     def __init__(self, part, fence_version):
         self.part = part
@@ -78,6 +78,8 @@
         self.dirty = {}
         self.batch = None
         self.retry_at = None
+        # When the batch was sent first.
+        self.sent_at = 0.0
 
 
 def part_of(job_id):
@@ -101,6 +103,7 @@
     if not writer.dirty:
         return None
     writer.batch = _make_batch(writer, _take(writer))
+    writer.sent_at = now
     return writer.batch.commit
 
 
--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -6,15 +6,15 @@
 """
 
 import random
-from typing import NamedTuple
 
-from . import advising, commits, planning
+from . import advising, commits
 from . import staged_jobs as jobs
 from . import waiting as queue_index
 from . import workers as table
 from .dispatch_effects import Start, Tell
 from .dispatch_looks import drop_lost_workers, send_looks
-from .dispatch_runs import request_stop, stop_retries, void
+from .dispatch_plan import plan
+from .dispatch_runs import mark, request_stop, stop_retries, void
 from .log import get_logger
 from .staged_jobs import (
     CANCELLED,
@@ -41,10 +41,8 @@
 
 log = get_logger("dispatch")
 
-# The first steps of the queue keep fresh tickets while they wait for room.
-STEPS_WITH_TICKETS = 8
-# Jobs of a queue that a pass may look at in vain: they wait for room or advice.
-PASSED_OVER = 100
+# Weight of what commits took before, at each commit.
+COMMIT_DECAY = 0.8
 # Interval of the checks of all workers and runs; others follow events.
 SWEEP_S = 0.05
 # What a worker that leaves still runs is stopped this much ahead: the order has to
@@ -74,6 +72,8 @@
         self.timed = {}
         # Workers at which a look may be due before the next sweep.
         self.look_due = set()
+        # How long commits take: the longest of the last ones, decayed.
+        self.commit_s = 0.0
         self.sweep_at = now
         self.effects = []
         self.needs_plan = True
@@ -82,19 +82,6 @@
         self.rng = random.Random(token)
 
 
-def writer_of(state, job):
-    """Return the Writer of the job's partition."""
-    return state.writers[commits.part_of(job.spec.id)]
-
-
-def mark(state, job, effect=None):
-    """Record the job's state; ``effect`` is carried out after that."""
-    if effect is not None:
-        job.after_commit.append(effect)
-    commits.mark(writer_of(state, job), job)
-    queue_index.touch(state.waiting, job)
-
-
 def _add_job(state, job):
     state.jobs[job.spec.id] = job
     if job.spec.occurrences:
@@ -238,6 +225,8 @@
     batch = commits.finish(writer, now, result)
     if batch is None:
         return
+    taken_s = now - writer.sent_at
+    state.commit_s = max(taken_s, COMMIT_DECAY * state.commit_s)
     if batch is False:
         log("warning", "fenced_off", part=part, token=state.token)
         state.fenced_off = True
@@ -271,6 +260,12 @@
         # Never sent, so nothing is left of it.
         void(state, now, run, "withdrawn")
         return
+    if ticket:
+        # A later answer may have brought a fresh one while the record was written.
+        ticket = advising.ticket_for(run.job, run.task.key[:2], run.worker, now)
+        if ticket is None:
+            void(state, now, run, "ticket ran out")
+            return
     run.state = table.SENT
     run.sent_at = now
     deadline = table.extend_lease(worker, now, state.cfg["lease_s"])
@@ -324,115 +319,3 @@
                 jobs.open_occurrence(job, number)
                 queue_index.touch(state.waiting, job)
                 state.needs_plan = True
-
-
-class Pass(NamedTuple):
-    """One pass of the planner; ``askable`` is {service: ids of workers to ask about}"""
-
-    now: float
-    room: planning.Room
-    askable: dict
-
-
-def _begin_pass(state, now):
-    usable = [w for w in state.workers.values() if table.is_usable(w, now)]
-    askable = {}
-    for worker in state.workers.values():
-        if worker.listed and not worker.info.draining:
-            askable.setdefault(worker.info.service, []).append(worker.info.id)
-    return Pass(now, planning.Room(usable), askable)
-
-
-def plan(state, now):
-    """Place what fits, in the order of the queues; returns the Room that is left.
-
-    Answers queues longer than the room: each queue is closed for the pass once
-    PASSED_OVER of its jobs were not placed.
-    """
-    queue_index.refresh(state.waiting)
-    this_pass = _begin_pass(state, now)
-    passed_over, closed = {}, set()
-    rank = 0
-    for job in queue_index.in_order(state.waiting, now, closed):
-        this_pass.room.jobs += 1
-        placed = 0
-        for key in job.ready_steps:
-            placed += _plan_step(state, this_pass, job, key, rank)
-            rank += 1
-        if not placed:
-            name = queue_index.queue_key(job)
-            passed_over[name] = passed_over.get(name, 0) + 1
-            if passed_over[name] >= PASSED_OVER:
-                closed.add(name)
-    return this_pass.room
-
-
-def _plan_step(state, this_pass, job, key, rank):
-    """Place tasks of a step; returns how many were."""
-    now, room = this_pass.now, this_pass.room
-    queue = state.queues.get(job.spec.queue.name, job.spec.queue)
-    allowed = None
-    if queue.advice is not None:
-        allowed = advising.valid_tickets(job, key, now)
-    tasks = queue_index.waiting_tasks(job, key)
-    candidate = planning.Candidate(job, key, tasks, allowed)
-    gang = job.spec.steps[key[1]].gang
-    placed = []
-    if not planning.is_hopeless(room, candidate, queue.service):
-        fit = planning.fit_gang if gang else planning.fit_tasks
-        placed = fit(room, candidate, queue.service) or []
-    for placement in placed:
-        _place(state, now, job, placement)
-    if placed:
-        job.started = True
-        mark(state, job)
-    if gang and not placed:
-        tickets = job.tickets.get(key)
-        known = queue.advice is None or (tickets is not None and tickets.approved)
-        if known:
-            approved = None if queue.advice is None else tickets.approved
-            planning.hold_for_gang(room, candidate, queue.service, approved)
-    if queue.advice is not None and len(placed) < len(tasks):
-        _ask(state, this_pass, candidate, queue, rank)
-    return len(placed)
-
-
-def _place(state, now, job, placement):
-    task, worker = placement.task, placement.worker
-    step_tasks = job.tasks[task.key[:2]]
-    gang = job.spec.steps[task.key[1]].gang
-    if gang:
-        # All members of one start carry the same number.
-        attempt = max(t.attempt for t in step_tasks if t.state != PLACED) + 1
-        placed = [t.attempt for t in step_tasks if t.state == PLACED]
-        attempt = max([attempt, *placed]) if placed else attempt
-    else:
-        attempt = task.attempt + 1
-    task.attempt, task.state = attempt, PLACED
-    name = jobs.task_name(job, task)
-    run = table.Run(job, task, name, attempt, worker.info.id, table.RECORDING)
-    run.saved = task.saved
-    task.run = run
-    table.add_run(worker, run)
-    state.look_due.add(worker.info.id)
-    mark(state, job, ("start", run, placement.ticket))
-
-
-def _ask(state, this_pass, candidate, queue, rank):
-    """Ask about workers that are not known yet, or whose tickets have run out."""
-    now, room = this_pass.now, this_pass.room
-    job, key = candidate.job, candidate.key
-    tickets = advising.tickets_of(job, key)
-    if tickets.call is not None or not advising.has_free_node(state.advising, now):
-        return
-    askable = this_pass.askable.get(queue.service, ())
-    unknown = [i for i in askable if i not in tickets.asked]
-    expired = [
-        i for i in tickets.approved if i in room.workers and i not in candidate.allowed
-    ]
-    wanted = unknown + expired
-    if not wanted or (not unknown and rank >= STEPS_WITH_TICKETS):
-        return
-    effect = advising.ask(state.advising, now, job, key, wanted)
-    if effect is not None:
-        state.effects.append(effect)
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "look_answered",
+    "mark",
     "request_stop",
     "start_answered",
     "stop_answered",
@@ -26,7 +27,8 @@
 STOP_RETRY_S = 0.3
 
 
-def _mark(state, job, effect=None):
+def mark(state, job, effect=None):
+    """Record the job's state; ``effect`` is carried out after that."""
     if effect is not None:
         job.after_commit.append(effect)
     commits.mark(state.writers[commits.part_of(job.spec.id)], job)
@@ -90,7 +92,7 @@
         task.saved = run.saved or task.saved
     if run.step.gang and task.state != DONE:
         _stop_gang(state, now, job, task.key[:2])
-    _mark(state, job)
+    mark(state, job)
 
 
 def _stop_gang(state, now, job, key):
@@ -244,7 +246,7 @@
     if job.outcome is not None or task.run is not run:
         _release(state, now, run)
         if job.spec.id in state.jobs:
-            _mark(state, job)
+            mark(state, job)
         return
     if how == "done":
         _task_done(state, now, run)
@@ -253,7 +255,7 @@
             _task_failed(state, now, run)
         _release(state, now, run)
     worker.open_ends[number] = 1
-    _mark(state, job, ("end", worker.info.id, worker.info.born, number))
+    mark(state, job, ("end", worker.info.id, worker.info.born, number))
 
 
 def _task_done(state, now, run):
--- /dev/null
+++ b/tests/test_advising.py
@@ -0,0 +1,81 @@
+"""Tickets: used while they hold, also when the record of a start takes long."""
+
+import pytest
+from fixtures_dispatch import make_worker
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+from cornelward import advising, dispatch, dispatch_plan
+from cornelward.commits import PARTS, Applied
+from cornelward.dispatch_effects import AskAdvice, Commit, Start
+from cornelward.staged_jobs import AdvicePolicy, JobSpec, Queue, StepSpec
+
+VALID_S = 2.5
+CFG = {
+    "lease_s": 6.0,
+    "stop_s": 0.3,
+    "longest_lease_s": 10.0,
+    "unknown_lease_s": 23.0,
+}
+
+
+@pytest.fixture
+def core():
+    """Return a core with one worker and a job whose step has been asked about."""
+    state = dispatch.Dispatcher(1, dict.fromkeys(PARTS, 1), CFG, 0.0)
+    dispatch.workers_seen(state, 0.0, [make_worker("w0")], complete=True)
+    state.workers["w0"].answered_at = 0.0
+    advising.set_nodes(state.advising, ["n0"])
+    queue = Queue("q", "svc", 1, 4, 2.0, 1.0, AdvicePolicy(0.02, 0.001, VALID_S))
+    step = StepSpec(1, 1_000, 100, estimate_s=1.0)
+    dispatch.job_seen(state, 0.0, JobSpec("a" * 16, queue, "", (step,)), 1, 0.0)
+    answer(state, 0.0)
+    return state
+
+
+def take(state, now, kind):
+    """Run the systems; returns the effects of a kind."""
+    dispatch.step(state, now, now)
+    effects, state.effects = state.effects, []
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def answer(state, now):
+    """Let the policy service approve the worker."""
+    asked = take(state, now, AskAdvice)
+    assert_that(asked, HasLength(1))
+    dispatch.advice_answered(state, now, asked[0].call_id, [("w0", f"t{now}")])
+
+
+def record(state, sent_at, now):
+    """Send the record of a start and let it apply at ``now``."""
+    commit = take(state, sent_at, Commit)[0]
+    dispatch.commit_answered(state, now, commit.part, Applied(7))
+
+
+def test_ticket_that_ran_out_while_the_start_was_recorded_is_not_sent(core):
+    # shahidi-ops-grown trouble-2: 263 starts were rejected beside a slow store.
+    record(core, 0.1, 0.1 + VALID_S)
+    assert_that(take(core, 0.1 + VALID_S, Start), Equals([]))
+    assert_that(core.workers["w0"].runs, Equals({}))
+
+
+def test_ticket_that_holds_is_sent(core):
+    record(core, 0.1, 1.0)
+    started = take(core, 1.0, Start)
+    assert_that([start.ticket for start in started], Equals(["t0.0"]))
+
+
+def test_ticket_is_asked_for_again_if_it_would_run_out_on_a_slow_store(core):
+    core.commit_s = 0.6
+    job = core.jobs["a" * 16]
+    late = VALID_S - advising.TICKET_MARGIN_S - dispatch_plan.record_time_s(core) + 0.01
+    core.needs_plan = True
+    assert_that(take(core, late, AskAdvice), HasLength(1))
+    assert_that(job.started, Equals(False))
+
+
+def test_half_of_a_tickets_time_is_used_however_slow_the_store_is(core):
+    core.commit_s = 5.0
+    core.needs_plan = True
+    assert_that(take(core, VALID_S / 4, Commit), HasLength(1))
--- a/tests/test_bench_planner.py
+++ b/tests/test_bench_planner.py
@@ -4,7 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from cornelward.dispatch import PASSED_OVER
+from cornelward.dispatch_plan import PASSED_OVER
 from tools.bench_planner import measure
 
 
