Ignore SIGHUP while a node starts; mend what the soak found

The program ignores it first of all now. The test stops a node in the middle of its start by a pipe as its settings file.

The node printed a traceback then; it exits with 3 and a message.

--- a/cornelward/peers.py
+++ b/cornelward/peers.py
@@ -7,6 +7,7 @@
 import pynng
 from circuits import BaseComponent, handler
 
+from .errors import START_FAILED, CornelwardError
 from .log import get_logger
 from .messages import decode, encode
 
@@ -24,7 +25,8 @@
 class Peers(BaseComponent):
     """The inbox and outboxes of one process.
 
-    ``on_message(Envelope)`` is called for each message that decodes.
+    ``on_message(Envelope)`` is called for each message that decodes. Raises
+    CornelwardError if the address is in use.
     """
 
     channel = "peers"
@@ -37,7 +39,10 @@
         self._on_message = on_message
         self._outboxes = {}
         self._inbox = pynng.Pull0(recv_buffer_size=1_024)
-        self._listener = self._inbox.listen(f"tcp://{bind}")
+        try:
+            self._listener = self._inbox.listen(f"tcp://{bind}")
+        except pynng.exceptions.NNGException as exc:
+            raise CornelwardError(f"{bind}: {exc}", START_FAILED) from exc
         self._fd = self._inbox.recv_fd
         loop.poller.addReader(self, self._fd)
         self.register(loop)
--- a/cornelward/platform/__main__.py
+++ b/cornelward/platform/__main__.py
@@ -5,12 +5,16 @@
 """
 
 import os
+import signal
 import sys
 
-from ..errors import CornelwardError, SettingsError
-from ..log import setup_logging
-from .compose import build_node
-from .settings import load_node_settings
+# Until the loop handles it, a hang-up would end the process: the imports take 0.4 s.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from ..errors import CornelwardError, SettingsError  # noqa: E402
+from ..log import setup_logging  # noqa: E402
+from .compose import build_node  # noqa: E402
+from .settings import load_node_settings  # noqa: E402
 
 SETTINGS_VARIABLE = "CORNELWARD_CONFIG"
 EXIT_BAD_SETTINGS = 2
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,12 +1,21 @@
 """The adapter: what the platform says is decoded once, and bad bytes name nothing."""
 
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
 import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, IsInstance
 from testtools.testcase import ExpectedException
 
-from cornelward.errors import SettingsError
+from cornelward.errors import CornelwardError, SettingsError
+from cornelward.loop import Loop
+from cornelward.peers import Peers
+from cornelward.platform.__main__ import EXIT_BAD_SETTINGS
 from cornelward.platform.ingress import (
     Target,
     decode_config,
@@ -17,6 +26,7 @@
 from cornelward.platform.settings import load_node_settings
 from cornelward.staged_jobs import AdvicePolicy, JobSpec, Queue, StepSpec
 
+ROOT = Path(__file__).parent.parent
 ENTRY = {
     "service": "svc",
     "address": "10.0.0.1:80",
@@ -181,3 +191,31 @@
     path.write_text(text)
     with ExpectedException(SettingsError):
         load_node_settings(path)
+
+
+def test_hang_up_while_a_node_starts_does_not_end_it(tmp_path):
+    # Seeds 30 and 32 of the soak: SIGHUP right after the start ended the process.
+    path = tmp_path / "settings.toml"
+    os.mkfifo(path)
+    node = subprocess.Popen(
+        [sys.executable, "-m", "cornelward.platform"],
+        cwd=ROOT,
+        env={**os.environ, "CORNELWARD_CONFIG": str(path)},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    # Opens once the node reads its settings.
+    with open(path, "w") as pipe:
+        node.send_signal(signal.SIGHUP)
+        pipe.write("not = [settings")
+    assert_that(node.wait(), Equals(EXIT_BAD_SETTINGS))
+
+
+def test_address_in_use_is_a_start_that_failed():
+    # Seed 46 of the soak: a traceback instead of a message and exit code 3.
+    loop = Loop()
+    first = Peers(loop, "127.0.0.1:0", "a", 1, lambda envelope: None)
+    taken = first.address.removeprefix("tcp://")
+    with ExpectedException(CornelwardError):
+        Peers(loop, taken, "b", 1, lambda envelope: None)
+    first.close()
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -5,6 +5,7 @@
 """
 
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -20,6 +21,9 @@
 READY_LIMIT_S = 30.0
 STOP_LIMIT_S = 20.0
 POLL_S = 0.05
+# Ports of programs that are started again; the system gives out those from 32768 on.
+FIRST_PORT, PORTS_EACH, PORT_RANGES = 12_000, 600, 10
+_port_numbers = itertools.count()
 
 
 def wait_until(condition, what, limit_s=60.0):
@@ -38,12 +42,20 @@
 
 
 def free_ports(count):
-    """Return loopback ports that were free just now."""
-    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Return loopback ports that are free, below those that connections get.
+
+    A program that is started again finds its port free. Test processes that run side
+    by side look in ranges of their own.
+    """
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    first = FIRST_PORT + PORTS_EACH * (worker % PORT_RANGES)
+    found = []
+    while len(found) < count:
+        port = first + next(_port_numbers) % PORTS_EACH
+        with socket.socket() as sock:
+            if sock.connect_ex(("127.0.0.1", port)):
+                found.append(port)
+    return found
 
 
 def call_json(address, method, path, value=None, timeout_s=5.0, headers=None):
