--- a/standins/cell.py
+++ b/standins/cell.py
@@ -16,12 +16,25 @@
 
 from cornelward.http_server import HttpServer
 
-__all__ = ["Advice", "Cell", "StandinWorker", "StoreStandin"]
+__all__ = ["ROUTE", "Advice", "Cell", "StandinWorker", "StoreStandin"]
 
 LOCAL = ("127.0.0.1", 0)
 HEARTBEAT_S = 0.5
 PAGE_ROWS = 500
 RUN_ENDS = "done"
+# A queue for the configuration.
+ROUTE = {
+    "name": "q",
+    "host": "jobs.example",
+    "path_prefix": "/jobs/",
+    "service": "svc",
+    "type": "non_idempotent",
+    "timeout_ms": 3_000,
+    "latency_slo_ms": 1_000,
+    "priority": 1,
+    "max_attempts": 3,
+    "stretch": 2.0,
+}
 
 
 class StoreStandin:
--- a/tests/fixtures_node.py
+++ b/tests/fixtures_node.py
@@ -9,21 +9,9 @@
 from cornelward.loop import Loop
 from cornelward.platform.compose import build_node
 from cornelward.platform.settings import NodeSettings
-from standins.cell import Cell
+from standins.cell import ROUTE, Cell
 
 LIMIT_S = 60
-ROUTE = {
-    "name": "q",
-    "host": "jobs.example",
-    "path_prefix": "/jobs/",
-    "service": "svc",
-    "type": "non_idempotent",
-    "timeout_ms": 3_000,
-    "latency_slo_ms": 1_000,
-    "priority": 1,
-    "max_attempts": 3,
-    "stretch": 2.0,
-}
 ADVICE = {"decision_ms": 20, "period_ms": 1, "valid_ms": 2_500}
 
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -20,7 +20,7 @@
 
 from cornelward.http_client import HttpClient
 from cornelward.loop import Loop
-from standins.cell import Cell
+from standins.cell import ROUTE, Cell
 from standins.proxy import TO_CALLER, TO_TARGET, Proxy
 
 from .launch import ROOT, free_ports
@@ -41,18 +41,6 @@
 # After the last fault: a lease of a former leader that nobody reached, then the runs.
 SETTLE_S = 120.0
 MAX_RSS_KB = 128 * 1024
-ROUTE = {
-    "name": "q",
-    "host": "jobs.example",
-    "path_prefix": "/jobs/",
-    "service": "svc",
-    "type": "non_idempotent",
-    "timeout_ms": 3_000,
-    "latency_slo_ms": 1_000,
-    "priority": 1,
-    "max_attempts": 3,
-    "stretch": 2.0,
-}
 SETTINGS = """
 node_name = "{name}"
 zone = "z1"
