Count a job as pending until one of its runs was seen

Cause: a job counted as begun once its start was recorded.

Change: a job has begun when a worker answered its start, listed a run of it or its end; after a takeover, when a task of it is done or has failed.

The new test fails without it. Ruled out: counts that are out of date (the node had a leader and answered with fresh ones).

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -185,7 +185,7 @@
 
 
 def pending_by_queue(state):
-    """Return {queue: accepted jobs of which no task has started}."""
+    """Return {queue: accepted jobs of which no run was seen on a worker}."""
     return queue_index.pending_counts(state.waiting)
 
 
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -35,6 +35,13 @@
     touch(state.waiting, job)
 
 
+def _note_begun(state, job):
+    """Note that a run of the job was seen: an order alone may never arrive."""
+    if not job.begun:
+        job.begun = True
+        touch(state.waiting, job)
+
+
 def request_stop(state, now, run):
     """Stop a run; one that was not sent yet is withdrawn when its record is written."""
     if run.state == RECORDING:
@@ -109,6 +116,7 @@
         return
     if answer == "ok":
         run.acked_at = now
+        _note_begun(state, run.job)
         if run.state == SENT:
             run.state = ACTIVE
             run.progress_at = now
@@ -202,6 +210,7 @@
                 Stop(worker.info.id, worker.info.address, name, attempt)
             )
             continue
+        _note_begun(state, run.job)
         if run.state in (SENT, ADOPTED):
             run.state = ACTIVE
             run.acked_at = now
@@ -231,6 +240,7 @@
     if run is None:
         return
     workers.remove_run(worker, run)
+    _note_begun(state, run.job)
     workers.note_end(worker, now, how, run)
     run.saved = saved or run.saved
     job, task = run.job, run.task
--- a/cornelward/staged_jobs.py
+++ b/cornelward/staged_jobs.py
@@ -170,6 +170,7 @@
     __slots__ = (
         "accepted_at",
         "after_commit",
+        "begun",
         "counted",
         "deadline",
         "dirty",
@@ -195,7 +196,8 @@
         # FAILED, CANCELLED or COMPLETED once decided; shown once it is recorded.
         self.outcome = None
         self.shown = QUEUED
-        self.started = False
+        # A start was recorded; and a run was seen on a worker.
+        self.started = self.begun = False
         self.dirty = False
         # Effects to carry out once the present state is recorded.
         self.after_commit = []
@@ -295,6 +297,7 @@
         task = job.tasks[occurrence, step][index]
         task.state, task.attempt = state, attempt
         task.failures, task.saved = failures, saved
+        job.begun = job.begun or state == DONE or failures > 0
         if state == PLACED or worker:
             placed.append((task, worker))
     return placed
--- a/cornelward/waiting.py
+++ b/cornelward/waiting.py
@@ -22,7 +22,7 @@
     def __init__(self):
         self.queues = {}
         self.touched = {}
-        # Queue -> accepted jobs of which no task has started.
+        # Queue -> accepted jobs of which no run was seen on a worker.
         self.pending = {}
 
 
@@ -80,7 +80,7 @@
 
 
 def _count(waiting, job):
-    is_pending = not job.started and job.outcome is None and not job.spec.occurrences
+    is_pending = not job.begun and job.outcome is None and not job.spec.occurrences
     if is_pending == job.counted:
         return
     job.counted = is_pending
@@ -93,7 +93,7 @@
 
 
 def pending_counts(waiting):
-    """Return {queue: accepted jobs of which no task has started}."""
+    """Return {queue: accepted jobs of which no run was seen on a worker}."""
     refresh(waiting)
     return dict(waiting.pending)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -214,3 +214,21 @@
     sim.run(1.0)
     counts = dispatch.pending_by_queue(sim.leader.core)
     assert_that(counts, Equals({"q": 1}))
+
+
+def test_job_whose_starts_did_not_arrive_counts_as_pending():
+    # hunt-f203-27 of shahidi-ops: 0 jobs were said to wait while the starts of four
+    # had been sent to workers that did not get them.
+    sim = Sim(1, workers=1)
+    sim.lead()
+    sim.run(1.0)
+    sim.workers["w0"].silent = True
+    sim.submit("a" * 16, steps_of(1))
+    sim.run(0.3)
+    core = sim.leader.core
+    assert_that(core.jobs["a" * 16].started, Equals(True))
+    assert_that(dispatch.pending_by_queue(core), Equals({"q": 1}))
+    sim.workers["w0"].silent = False
+    sim.run(20.0)
+    assert_that(dispatch.pending_by_queue(core), Equals({}))
+    assert_that(dispatch.state_of(core, "a" * 16), Equals("completed"))
