--- a/cornelward/routing.py
+++ b/cornelward/routing.py
@@ -3,8 +3,6 @@
 Functions over the router's state (``router.Router``); they return effects.
 """
 
-from typing import NamedTuple
-
 from . import classes, errors, slots, views
 from .borrowing import IDLE_CREDIT_S, lend_first, may_reuse
 from .classes import LONG, SHORT
@@ -21,6 +19,7 @@
     run_margin,
     waited_share,
 )
+from .routing_effects import Dispatch, Forward, Outcome, Refuse
 from .verdicts import Verdict, is_retry_safe
 
 __all__ = [
@@ -52,45 +51,6 @@
 NEVER = float("-inf")
 
 
-class Dispatch(NamedTuple):
-    """Effect: send the request to the executor; ``credit_id`` None for own slots.
-
-    The right to the slot ends at ``send_by`` (monotonic seconds): nothing may be sent
-    later, even if the process was paused since the decision.
-    """
-
-    request_id: str
-    executor: str
-    address: str
-    credit_id: int | None
-    send_by: float
-
-
-class Refuse(NamedTuple):
-    """Effect: answer that the request was not run."""
-
-    request_id: str
-    code: str
-    message: str
-    retry_after_ms: int | None
-
-
-class Forward(NamedTuple):
-    """Effect: send the request to an entry of another failure domain."""
-
-    request_id: str
-    failure_domain: str
-
-
-class Outcome(NamedTuple):
-    """How an attempt ended; ``leaving`` stops new work until ``/health`` is live."""
-
-    verdict: Verdict
-    error: str | None = None
-    leaving: bool = False
-    run_s: float = 0.0
-
-
 class SpillState:
     """Requests sent to another failure domain and how many may be there at once."""
 
