Acknowledge an end of a run only once its job's state is recorded

Ruled out by the trace: an outcome taken for applied (the records were not there at all), late writes behind the successor's reading (fenced), a successor that reads before its fence, and ends of failed runs (listed again to each successor).

Found beside it by the same kind of schedule, each with a test that failed first: * ends of a job whose outcome was decided but not recorded were acknowledged, too; * a worker that left the registry with unrecorded ends was forgotten, and the ends of its return acknowledged at once; * the registry may tell of a worker's restart before a poll does: its former number of ends was then acknowledged to its new life. The same after a failed poll, and by a late report of the former life; * a start refused as old was taken for never run, although its first copy may have ended.

Change: each end of an unfinished job waits for the job's next record; restarts seen in the registry reset the numbers; polls after a failed one acknowledge nothing; a refused "old" start is settled by a stop and the next poll. The simulated cell now checks each acknowledgement against the store's rows.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -13,7 +13,13 @@
 from .dispatch_effects import Reply, Start
 from .dispatch_plan import plan
 from .dispatch_polls import drop_lost_workers, send_polls
-from .dispatch_runs import discard_run, mark_dirty, request_stop, retry_stops
+from .dispatch_runs import (
+    discard_run,
+    mark_dirty,
+    request_stop,
+    reset_restarted_worker,
+    retry_stops,
+)
 from .log import get_logger
 from .staged_jobs import (
     CANCELLED,
@@ -152,6 +158,8 @@
         _update_draining(worker, now, info)
         if not worker.info.address:
             worker_table.update_clock(worker, now, info.clock_s)
+        elif worker.info.born != info.born:
+            reset_restarted_worker(worker, now, info.born)
         worker.info, worker.registered = info, True
     if complete:
         present = {info.id for info in infos}
--- a/cornelward/dispatch_polls.py
+++ b/cornelward/dispatch_polls.py
@@ -30,7 +30,9 @@
             )
             for run in list(worker.runs.values()):
                 discard_run(state, now, run, "lapsed")
-        if not worker.registered and not worker.runs and not worker.poll_in_flight:
+        if worker.registered or worker.runs or worker.poll_in_flight:
+            continue
+        if not worker.unrecorded_ends:
             del state.workers[worker.info.id]
 
 
@@ -62,7 +64,10 @@
 def _send_poll(state, now, worker):
     worker.poll_in_flight = True
     worker.last_poll_at = now
-    worker.last_end_acked = worker.last_end_recorded
+    # After a failed poll the worker may have restarted, and an acknowledgement would
+    # cover ends of its new life that no report has listed yet.
+    last_end = 0 if worker.failed_polls else worker.last_end_recorded
+    worker.last_end_acked = max(worker.last_end_acked, last_end)
     deadline = None
     # The lease is not extended after a failed poll, so that it expires eventually: each
     # unanswered poll might extend it again. Nor is it extended before the first answer,
@@ -74,6 +79,4 @@
     )
     wait_s = POLL_WAIT_S if can_wait and not worker.failed_polls else 0.0
     info = worker.info
-    state.effects.append(
-        Poll(info.id, info.address, deadline, worker.last_end_recorded, wait_s)
-    )
+    state.effects.append(Poll(info.id, info.address, deadline, last_end, wait_s))
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -18,6 +18,7 @@
     "on_start_result",
     "on_stop_result",
     "request_stop",
+    "reset_restarted_worker",
     "retry_stops",
 ]
 
@@ -146,8 +147,10 @@
         why=answer,
         worker=run.worker,
     )
-    if answer == "unknown":
-        # The worker may still start the run; after a stop request it cannot.
+    if answer in ("unknown", "old"):
+        # "unknown": the worker may still start the run; after a stop request it cannot.
+        # "old": a stop may have overtaken the start, but the run may also have ended;
+        # the next poll after the stop shows which.
         if run.state == SENT:
             request_stop(state, now, run)
         return
@@ -156,7 +159,7 @@
         return
     if answer == "ticket":
         run.job.tickets.pop(run.task.key[:2], None)
-    elif answer != "old":
+    else:
         workers.avoid(worker, now)
     if answer == "gone":
         worker.answered_at = None
@@ -182,6 +185,9 @@
         return
     worker.poll_in_flight = False
     state.poll_due.add(worker_id)
+    if report is not None and _is_from_earlier_life(worker, sent_at, report):
+        log("info", "report_outdated", worker=worker_id, born=report.born)
+        report = None
     if report is None:
         worker.failed_polls += 1
         return
@@ -195,7 +201,7 @@
     worker.failed_polls = 0
     worker.answered_at = now
     if report.born != worker.info.born:
-        _reset_restarted_worker(worker, report.born)
+        reset_restarted_worker(worker, now, report.born)
     workers.update_clock(worker, now, report.clock_s)
     for number, name, attempt, how, checkpoint in report.ended:
         if number > worker.last_end_seen:
@@ -208,9 +214,16 @@
         worker.last_end_recorded = worker.last_end_seen
 
 
-def _reset_restarted_worker(worker, born):
+def _is_from_earlier_life(worker, sent_at, report):
+    """Return whether the worker answered the poll before a restart we know of."""
+    return report.born != worker.info.born and sent_at < worker.restart_seen_at
+
+
+def reset_restarted_worker(worker, now, born):
+    """Forget what the worker listed before its restart: its numbers start anew."""
     log("info", "worker_reborn", worker=worker.info.id, born=born)
     worker.info = worker.info._replace(born=born)
+    worker.restart_seen_at = now
     worker.last_end_seen = worker.last_end_recorded = worker.last_end_acked = 0
     worker.unrecorded_ends.clear()
     worker.unknown_runs.clear()
@@ -262,6 +275,7 @@
 def _handle_run_end(state, now, worker, number, key, how, checkpoint):
     run = worker.runs.get(key)
     if run is None:
+        _handle_end_of_unknown_run(state, worker, number, key)
         return
     workers.remove_run(worker, run)
     _mark_run_seen(state, run.job)
@@ -279,15 +293,35 @@
         )
     if job.outcome is not None or task.run is not run:
         _release_task(state, now, run)
-        if job.spec.id in state.jobs:
-            mark_dirty(state, job)
-        return
-    if how == "done":
+    elif how == "done":
         _task_done(state, now, run)
     else:
         if how == "failed":
             _task_failed(state, now, run)
         _release_task(state, now, run)
+    _acknowledge_once_recorded(state, worker, number, job)
+
+
+def _handle_end_of_unknown_run(state, worker, number, key):
+    """Handle an end that was processed before, or whose run was given up.
+
+    A worker that left the registry and came back lists its ends again. What they
+    changed in the job may not be recorded yet.
+    """
+    job = state.jobs.get(key[0].partition(".")[0])
+    if job is not None:
+        _acknowledge_once_recorded(state, worker, number, job)
+
+
+def _acknowledge_once_recorded(state, worker, number, job):
+    """Acknowledge an end to the worker only once the job's present state is recorded.
+
+    Otherwise a successor could neither read the end nor see it on the worker, and would
+    run the task again. That holds for every end of an unfinished job: the success of a
+    gang's member, or the job's outcome, may itself not be recorded yet.
+    """
+    if job.spec.id not in state.jobs:
+        return
     worker.unrecorded_ends[number] = 1
     mark_dirty(state, job, ("end", worker.info.id, worker.info.born, number))
 
--- a/cornelward/workers.py
+++ b/cornelward/workers.py
@@ -119,6 +119,7 @@
         "leaves_at",
         "poll_in_flight",
         "registered",
+        "restart_seen_at",
         "runs",
         "slowness",
         "unknown_runs",
@@ -147,6 +148,8 @@
         self.last_end_seen = self.last_end_recorded = self.last_end_acked = 0
         # Ends that are processed but not recorded yet: number -> open commits.
         self.unrecorded_ends = {}
+        # When we learned of the worker's latest restart, if any.
+        self.restart_seen_at = 0.0
         self.failures = 0
         self.avoid_until = 0.0
         self.avoidance_s = 0.0
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -116,6 +116,8 @@
         self.running = {}
         self.closed_attempts = {}
         self.ended = []
+        # Numbers of ended runs that became void because the lease ran out meanwhile.
+        self.void_ends = set()
         self.number = 0
         self.deadline = 0.0
 
@@ -124,9 +126,10 @@
         return 100.0 + (self.sim.now - self.started_at) * (1 - self.drift)
 
     def _sweep(self):
-        if self.running and self.clock > self.deadline:
+        if self.clock > self.deadline:
             for key in list(self.running):
                 self.end(key, "lapsed")
+            self.void_ends.update(entry[0] for entry in self.ended)
 
     def end(self, key, how):
         """End a run and add it to the list of ended runs."""
@@ -180,7 +183,7 @@
                 self.deadline, min(effect.deadline_s, self.clock + LONGEST_LEASE_S)
             )
         for entry in self.ended:
-            if entry[0] <= effect.last_end:
+            if entry[0] <= effect.last_end and entry[0] not in self.void_ends:
                 self.sim.on_end_acknowledged(entry)
         self.ended = [e for e in self.ended if e[0] > effect.last_end]
         running = [(*key, "", 50) for key in self.running]
@@ -203,8 +206,7 @@
         self.failed_runs = 0
         self.workers = {}
         for i in range(workers):
-            info = make_worker(f"w{i}", cpu=cpu, born=1)
-            self.workers[info.id] = FakeWorker(self, info, self.rng.uniform(0, 0.02))
+            self.add_worker(make_worker(f"w{i}", cpu=cpu, born=1))
         self.specs = {}
         self.done = set()
         self.acknowledged = set()
@@ -213,6 +215,10 @@
         self.token = 0
         self.approved_share = 0.7
 
+    def add_worker(self, info):
+        """Add a worker whose clock is up to 2% slow."""
+        self.workers[info.id] = FakeWorker(self, info, self.rng.uniform(0, 0.02))
+
     def after(self, delay, function):
         heapq.heappush(self.queue, (self.now + delay, next(self.order), function))
 
@@ -224,6 +230,15 @@
             function()
         self.now = end
 
+    def ask_advice(self, effect, on_done):
+        """Answer an advice call: ``on_done([(worker id, ticket)])``."""
+        approved = [
+            (w, f"t{w}")
+            for w in effect.workers
+            if random.Random(f"{effect.step_name}{w}").random() < self.approved_share
+        ]
+        self.after(0.05, lambda: on_done(approved))
+
     def submit(self, job_id, steps, queue=None):
         """Store an accepted job and notify the leaders."""
         queue = queue or Queue("q", "svc", 1, 4, 2.0, 1.0)
@@ -234,6 +249,24 @@
         for leader in self.leaders:
             dispatch.add_accepted_job(leader.core, self.now, spec, version, self.now)
 
+    def cancel(self, job_id):
+        """Ask the latest leader to cancel a job, if the job was submitted."""
+        core = self.leader.core
+        if job_id in self.specs and not (self.leader.frozen or core.fenced_off):
+            dispatch.cancel(core, self.now, job_id, lambda value: None)
+
+    def unlist(self, worker, seconds):
+        """Remove a worker from the registry for ``seconds``; it goes on running."""
+        for leader in self.leaders:
+            dispatch.deregister_worker(leader.core, worker.info.id)
+
+        def relist():
+            for leader in self.leaders:
+                infos = [worker.info]
+                dispatch.update_workers(leader.core, self.now, infos, complete=False)
+
+        self.after(seconds, relist)
+
     def start_leader(self):
         """Start a new leader; the former ones stay active until they are fenced off."""
         self.token += 1
@@ -303,8 +336,29 @@
         self.failed_runs += how == "failed"
 
     def on_end_acknowledged(self, entry):
-        if entry[3] == "done":
-            self.acknowledged.add(entry[1])
+        """Check that a successor could read an acknowledged success in the store."""
+        name, how = entry[1], entry[3]
+        if how != "done":
+            return
+        self.acknowledged.add(name)
+        if not self._is_recorded_as_done(name):
+            self.violations.append(
+                f"the end of {name} was acknowledged before it was recorded"
+            )
+
+    def _is_recorded_as_done(self, name):
+        job_id, occurrence, step, index = name.split(".")
+        part = commits.partition_of(job_id)
+        if (part, "done", job_id) in self.store.rows:
+            return True
+        value, _ = self.store.rows.get((part, "runs", job_id), (None, 0))
+        if value is None:
+            return False
+        key = (int(occurrence), int(step), int(index))
+        outcome, _, rows = decode_record(value)
+        return bool(outcome) or any(
+            tuple(row[:3]) == key and row[3] == DONE for row in rows
+        )
 
 
 class Leader:
@@ -466,20 +520,15 @@
 
     def _askadvice(self, effect):
         sim = self.sim
-        approved = [
-            (w, f"t{w}")
-            for w in effect.workers
-            if random.Random(f"{effect.step_name}{w}").random() < sim.approved_share
-        ]
 
-        def done():
+        def done(approved):
             self._handle_answer(
                 lambda: dispatch.on_advice_result(
                     self.core, sim.now, effect.call_id, approved
                 )
             )
 
-        sim.after(0.05, done)
+        sim.ask_advice(effect, done)
 
     def _reply(self, effect):
         effect.reply(effect.value)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -5,11 +5,11 @@
 """
 
 import pytest
-from fixtures_dispatch import ADVISED, Sim, steps_of
+from fixtures_dispatch import ADVISED, Report, Sim, steps_of
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from cornelward import dispatch
+from cornelward import dispatch, dispatch_polls, dispatch_runs, workers
 
 SEEDS = range(12)
 JOBS = 12
@@ -147,6 +147,56 @@
     assert_all_done(sim)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_end_is_acknowledged_before_a_successor_can_read_it(seed):
+    # Guards against tasks that run again after their acknowledged end (large, issue
+    # 17): the store loses answers and carries writes out late, registry entries expire
+    # and come back, orders are late, and leaders freeze, resume and change hands.
+    sim = Sim(seed)
+    sim.start_leader()
+    submit_mix(sim, seconds=14.0)
+    for i in range(JOBS):
+        if i % 4 == 2:
+            sim.after(sim.rng.uniform(1, 14), lambda i=i: sim.cancel(f"{i:016x}"))
+    for worker in sim.workers.values():
+        worker.late_share = 0.05
+        for _ in range(3):
+            at, away_s = sim.rng.uniform(1, 14), sim.rng.uniform(0.1, 2.0)
+            sim.after(at, lambda w=worker, s=away_s: sim.unlist(w, s))
+    for _ in range(4):
+        sim.store.lost_share = sim.rng.choice((0.0, 0.4, 0.7))
+        sim.run(sim.rng.uniform(1.0, 4.0))
+        former = sim.leader
+        if sim.rng.random() < 0.5:
+            former.frozen = True
+            sim.after(sim.rng.uniform(0.1, 4.0), former.resume)
+        sim.start_leader()
+    sim.store.lost_share = 0.0
+    for worker in sim.workers.values():
+        worker.late_share = 0.0
+    sim.run(60)
+    assert_that(sim.violations, Equals([]))
+    assert_that(states(sim) - {"completed", "failed", "cancelled"}, Equals(set()))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_worker_that_restarts_unseen_keeps_its_new_ends(seed):
+    # The registry may tell of the restart before a poll does. The numbers of ends
+    # start anew, so that ends of the new life must not be acknowledged by an old one.
+    sim = Sim(seed)
+    sim.fail_share = 0.0
+    sim.start_leader()
+    submit_mix(sim)
+    for born in range(2, 8):
+        sim.run(sim.rng.uniform(0.3, 2.0))
+        worker = sim.rng.choice(list(sim.workers.values()))
+        worker.restart(born)
+        infos = [worker.info]
+        dispatch.update_workers(sim.leader.core, sim.now, infos, complete=False)
+    sim.run(50)
+    assert_all_done(sim)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_workers_restarted_under_the_same_id(seed):
     sim = Sim(seed)
@@ -180,6 +230,59 @@
     assert_that(sim.violations, Equals([]))
 
 
+def start_one_task(sim):
+    """Start a task on the only worker; return the worker and the core's entry of it."""
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.run(0.5)
+    sim.submit("a" * 16, steps_of(1, estimate_s=1.0))
+    sim.run(0.3)
+    worker = sim.workers["w0"]
+    assert_that(worker.running, HasLength(1))
+    return worker, sim.leader.core.workers["w0"]
+
+
+def test_late_report_of_an_earlier_life_acknowledges_nothing_in_the_new_one():
+    sim = Sim(1, workers=1)
+    worker, known = start_one_task(sim)
+    old_report = Report(101.0, 1, [], [(7, "x" * 16 + ".0.0.0", 1, "done", "")])
+    sent_at = sim.now
+    infos = [worker.info._replace(born=2)]
+    dispatch.update_workers(sim.leader.core, sim.now + 0.1, infos, complete=False)
+    core = sim.leader.core
+    dispatch_runs.on_poll_result(core, sim.now + 0.2, "w0", sent_at, old_report)
+    assert_that(known.last_end_recorded, Equals(0))
+    assert_that(known.info.born, Equals(2))
+
+
+def test_poll_after_a_failed_one_acknowledges_nothing():
+    # The worker may have restarted while it was unreachable.
+    sim = Sim(1, workers=1)
+    _, known = start_one_task(sim)
+    sim.run(3.0)
+    assert_that(known.last_end_recorded, Equals(1))
+    known.failed_polls = 1
+    known.last_poll_at = 0.0
+    known.runs["b", 1] = workers.Run(None, None, "b", 1, "w0", workers.ACTIVE)
+    dispatch_polls.send_polls(sim.leader.core, sim.now, [known])
+    assert_that(sim.leader.core.effects[-1].last_end, Equals(0))
+
+
+def test_start_refused_as_old_is_void_only_once_a_poll_shows_no_end():
+    # The first copy of a start may have run to its end before the worker refuses the
+    # second; the end must not be lost.
+    sim = Sim(1, workers=1)
+    worker, known = start_one_task(sim)
+    (run,) = known.runs.values()
+    run.state = workers.SENT
+    core = sim.leader.core
+    worker.end((run.name, run.attempt), "done")
+    dispatch_runs.on_start_result(core, sim.now, run, "old")
+    sim.run(2.0)
+    assert_that(dispatch.state_of(core, "a" * 16), Equals("completed"))
+    assert_that(worker.number, Equals(1))
+
+
 def test_cancelled_job_is_stopped_and_reported_as_cancelled():
     sim = Sim(1)
     sim.start_leader()
