Bound the heartbeats of the leader, and give up requests to a replaced leader

Cause: each heartbeat (about six a second) carried the addresses of all nodes to all nodes, encoded anew for each, and each was answered by a hello: bytes grew with the square of the nodes, about 1 MB/s at 97. Requests to a leader that another had replaced waited for their deadline (answers 504).

Change: heartbeats.py decides who gets one. At most eight standbys get each renewal and all addresses; the others get a heartbeat each 0.8 to 1.5 s with the addresses of the standbys; each heartbeat names the time of the next, from which followers take their time-out. A message to many nodes is encoded once; hellos that say the same are sent once in 0.7 s. A request to a former leader is given up when the next is known.

Tests: test_heartbeats.py (96 nodes: under a fifth of 1 MB/s; 30 to 300 nodes: under ten times), test_node_jobs.py (failed first). test_follower_does_not_poll_while_every_second_heartbeat_arrives now passes the interval that heartbeats name, for three intervals instead of one.

--- a/cornelward/leadership.py
+++ b/cornelward/leadership.py
@@ -15,6 +15,7 @@
     "Leadership",
     "ReadLeader",
     "RenewLeadership",
+    "is_leader_silent",
     "on_claim_result",
     "on_heartbeat",
     "on_leader_resigned",
@@ -24,8 +25,10 @@
 ]
 
 RENEW_INTERVAL_S = 0.4
-# Heartbeats are sent every 0.3 s; one may be lost and the next one late.
+# A node reads the leader's row after this time without a heartbeat, or after this many
+# of their intervals, whichever is longer: one may be lost and the next one late.
 HEARTBEAT_TIMEOUT_S = 0.8
+HEARTBEAT_TIMEOUT_INTERVALS = 2.25
 # A leader that has not reached the store for this long may be replaced at once by a
 # node that does reach it. The leader renews about twice a second, and a slow store
 # takes about 0.5 s to answer.
@@ -106,6 +109,7 @@
         self.read_at = None
         # Time of the last sign of life: a heartbeat, or a row with a new token.
         self.leader_seen_at = now - HEARTBEAT_TIMEOUT_S
+        self.heartbeat_timeout_s = HEARTBEAT_TIMEOUT_S
         # How long ago the leader last reached the store, by its own account.
         self.store_age_s = 0.0
         self.heartbeat_token = None
@@ -139,14 +143,18 @@
         return None
 
 
-def on_heartbeat(state, now, address, store_age_s, token, version=None):
+def on_heartbeat(state, now, address, store_age_s, token, version=None, interval_s=0.0):
     """Record a heartbeat of the leader; returns False if it is from an older leader.
 
-    ``version`` is the version of the leader's row after its last renewal.
+    ``version`` is the version of the leader's row after its last renewal,
+    ``interval_s`` the time until the next heartbeat.
     """
     if state.row is not None and token < state.row.token:
         return False
     state.leader_seen_at = now
+    state.heartbeat_timeout_s = max(
+        HEARTBEAT_TIMEOUT_S, HEARTBEAT_TIMEOUT_INTERVALS * interval_s
+    )
     state.store_age_s = store_age_s
     state.heartbeat_token = token
     if version != state.heartbeat_version:
@@ -155,6 +163,11 @@
     return True
 
 
+def is_leader_silent(state, now):
+    """Return whether the leader's heartbeats are overdue."""
+    return now - state.leader_seen_at >= state.heartbeat_timeout_s
+
+
 def on_leader_resigned(state, now, token):
     """Make the row claimable at once: the leader resigned and chose this node.
 
@@ -184,10 +197,7 @@
             row = state.row._replace(renewals=state.row.renewals + 1)
             return [RenewLeadership(row, state.version)]
         return []
-    silent = (
-        now - state.leader_seen_at >= HEARTBEAT_TIMEOUT_S
-        or state.store_age_s >= SUSPECT_AGE_S
-    )
+    silent = is_leader_silent(state, now) or state.store_age_s >= SUSPECT_AGE_S
     due = (
         state.last_request_at is None or now - state.last_request_at >= POLL_INTERVAL_S
     )
@@ -217,6 +227,7 @@
         if row is not None and row.token != state.heartbeat_token:
             # Allow a leader that is new to this node time for its first heartbeat.
             state.leader_seen_at, state.store_age_s = now, 0.0
+            state.heartbeat_timeout_s = HEARTBEAT_TIMEOUT_S
             state.leader_address = row.address
         state.row, state.version, state.changed_at = row, version, now
         if version == state.heartbeat_version:
@@ -290,5 +301,6 @@
     state.version = None
     state.row = None
     state.leader_address = None
+    state.heartbeat_timeout_s = HEARTBEAT_TIMEOUT_S
     state.leader_seen_at = now - HEARTBEAT_TIMEOUT_S
     state.last_request_at = None
--- a/cornelward/messages.py
+++ b/cornelward/messages.py
@@ -153,10 +153,13 @@
     token: int
     store_age_s: float
     pending: dict[str, int]
-    # Addresses of all nodes, for nodes that cannot reach the store themselves.
+    # Addresses of other nodes, for nodes that cannot reach the store themselves; empty
+    # if the last ones still hold.
     nodes: tuple[str, ...] = ()
     # Version of the leader's row in the store after its last renewal.
     row_version: int = 0
+    # Time until the next heartbeat to this node.
+    interval_s: float = 0.4
 
 
 class LeaderHello(NamedTuple):
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -28,6 +28,8 @@
 # New connections are accepted for this long after SIGTERM, because the load balancer
 # removes an instance only after two failed health checks.
 STOP_ACCEPTING_AFTER_S = 2.6
+# Minimum time between two hellos to the same leader that say the same.
+HELLO_INTERVAL_S = 0.7
 # The process exits this long before the platform's grace period ends.
 EXIT_MARGIN_S = 0.7
 LEADER_KEY = ("leader", "main")
@@ -69,6 +71,9 @@
         self.inserts = inserts.Inserts()
         # Node name -> incarnation in its last message.
         self.incarnations = {}
+        # (leader's token, its address, whether this node is leaving) of the last hello.
+        self.last_hello = None
+        self.last_hello_at = 0.0
         # When the last message from another node arrived.
         self.last_message_at = clock()
         self.stopping_at = None
@@ -263,6 +268,16 @@
     node.peers.send(address, hello)
 
 
+def answer_heartbeat(node, heartbeat):
+    """Send the leader a hello, unless it got the same one a moment ago."""
+    now = clock()
+    said = (heartbeat.token, heartbeat.address, node.stopping_at is not None)
+    if said == node.last_hello and now - node.last_hello_at < HELLO_INTERVAL_S:
+        return
+    node.last_hello, node.last_hello_at = said, now
+    send_hello(node, heartbeat.address)
+
+
 # Stopping
 
 
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -14,6 +14,7 @@
     RequestError,
 )
 from .inserts import ACCEPTED, REFUSED
+from .leadership import is_leader_silent
 from .log import get_logger
 from .messages import CancelRequest, StateRequest
 from .node_inserts import LEADER_STORE_FRESH_S, is_isolated, store_job
@@ -46,8 +47,6 @@
 # Reserved for sending the response to the caller.
 RESPONSE_MARGIN_S = 0.15
 STATE_TIMEOUT_S = 0.35
-# Requests to a leader are given up when its heartbeats stop for this long.
-LEADER_HEARTBEAT_TIMEOUT_S = 0.8
 CANCEL_TIMEOUT_S = 1.2
 # A read of the leader's row is recent within this time: followers read it every 0.25 s
 # while the leader cannot renew it.
@@ -68,7 +67,8 @@
 
     def __init__(self):
         self.last_number = 0
-        # Request number -> (function to call with the reply, deadline, address).
+        # Request number -> (function to call with the reply, deadline, address, whether
+        # the address was the leader's).
         self.outstanding_requests = {}
         # Queue name -> number of jobs that have not started.
         self.pending = {}
@@ -227,6 +227,7 @@
         on_reply,
         now_of(node) + limit_s,
         address,
+        address == node.leadership.leader_address,
     )
     if not node.peers.send(address, make(request_number)):
         complete_request(node, request_number, None)
@@ -240,21 +241,24 @@
 
 
 def tick(node):
-    """Give up requests that timed out, or whose leader is gone or lost the store."""
+    """Give up requests that timed out, or whose leader is gone or lost the store.
+
+    A request to a leader that another has replaced is given up, too.
+    """
     now = now_of(node)
     state = node.leadership
-    silent = now - state.leader_seen_at >= LEADER_HEARTBEAT_TIMEOUT_S
+    silent = is_leader_silent(state, now)
     # ``stuck``: the leader cannot reach the store, but this node has just reached it.
     store_reached = state.read_at is not None and now - state.read_at <= RECENT_READ_S
     store_healthy = not (node.health.is_failing or node.health.is_slow)
     stuck = (
         state.store_age_s >= LEADER_STORE_FRESH_S and store_reached and store_healthy
     )
-    for request_number, (_, deadline, address) in list(
-        node.peer_state.outstanding_requests.items()
-    ):
-        is_peer = address in node.peer_state.peers and address != state.leader_address
-        if now >= deadline or ((silent or stuck) and not is_peer):
+    for request_number, request in list(node.peer_state.outstanding_requests.items()):
+        _, deadline, address, to_leader = request
+        # A former leader may be frozen or gone; the new one can be asked instead.
+        replaced = to_leader and state.leader_address not in (None, address)
+        if now >= deadline or (to_leader and (silent or stuck)) or replaced:
             complete_request(node, request_number, None)
 
 
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -2,7 +2,7 @@
 
 import time
 
-from . import advising, dispatch, dispatch_runs, leadership
+from . import advising, dispatch, dispatch_runs, heartbeats, leadership
 from .commits import Applied, Rows
 from .log import get_logger
 from .messages import AdviceRequest, LeaderBeat, LeaderResigned
@@ -21,9 +21,11 @@
 
 log = get_logger("node_leader")
 
-HEARTBEAT_INTERVAL_S = 0.3
 # A node that sent no hello for this long gets no heartbeats and makes no advice calls.
+# Nodes send one each 0.8 s, or with each heartbeat where those are rarer.
 NODE_TIMEOUT_S = 2.0
+# A node is also kept for this many intervals of its heartbeats.
+KEPT_INTERVALS = 2.5
 # Pause before a poll that was not sent is reported as failed.
 RETRY_S = 0.2
 # A leader that cannot reach the store keeps extending its workers' leases this long.
@@ -56,7 +58,7 @@
         self.successor = None
         # When the successor was asked.
         self.handover_sent_at = None
-        self.last_heartbeat_at = None
+        self.beats = heartbeats.Beats()
         # Whether the store refuses this node, so that another may take over.
         self.store_refusing = False
         self.step_scheduled = False
@@ -192,56 +194,79 @@
     store_refusing = node.health.is_refused(now)
     if store_refusing and not term.store_refusing:
         log("warning", "store_refuses", failing_s=round(node.health.failing_s(now), 2))
-    heartbeat_due = (
-        term.last_heartbeat_at is None
-        or now - term.last_heartbeat_at >= HEARTBEAT_INTERVAL_S
-    )
-    if heartbeat_due or store_refusing != term.store_refusing:
-        # Report a change at once: a node that reaches the store takes over as soon as
-        # it learns that this one is refused.
-        term.store_refusing = store_refusing
-        send_heartbeats(node, term, now)
+    # A change is reported at once: a node that reaches the store takes over as soon as
+    # it learns that this one is refused.
+    changed = store_refusing != term.store_refusing
+    term.store_refusing = store_refusing
+    send_heartbeats(node, term, now, urgent=changed)
     run_step(node, term)
 
 
 def on_row_renewed(node):
-    """Send the row's new version at once.
+    """Report the row's new version to the standbys at once.
 
     A follower that knows it can claim an unrenewed row at its first read of it.
     """
     term = node.leader
     if term.dispatcher is not None and not term.closed:
+        term.beats.standbys_at = None
         send_heartbeats(node, term, node.deps.now())
 
 
-def send_heartbeats(node, term, now):
-    """Send a heartbeat to every node, and forget nodes that timed out."""
-    term.last_heartbeat_at = now
-    for name, (address, last_hello_at) in list(term.nodes.items()):
-        if last_hello_at is not None and now - last_hello_at > NODE_TIMEOUT_S:
-            del term.nodes[name]
-            node.peers.disconnect(address)
+def send_heartbeats(node, term, now, urgent=False):
+    """Send the heartbeats that are due, and forget nodes that timed out."""
+    peers = _known_peers(node, term, now)
+    due = heartbeats.groups_due(term.beats, now, node.address, peers, urgent)
+    if not due:
+        return
+    _forget_silent_nodes(node, term, now, len(peers))
     _update_advice_nodes(term)
     pending = dispatch.pending_by_queue(term.dispatcher)
     node.deps.set_pending_counts(node, pending)
-    known = {address for address, _ in term.nodes.values()}
-    if now - term.started_at < NODE_TIMEOUT_S:
-        known.update(term.inherited_peers)
-    addresses = tuple(sorted(known))
-    node.peer_state.peers = [a for a in addresses if a != node.address]
+    node.peer_state.peers = [peer.address for peer in peers]
     store_age_s = now - node.leadership.renewed_at
     if term.store_refusing:
         store_age_s = max(store_age_s, leadership.STORE_STALE_S)
-    for address in node.peer_state.peers:
-        # A stale store age lets the successor claim the row, and claim again if a claim
-        # fails.
-        is_successor = address == term.successor
-        age_s = leadership.STORE_STALE_S if is_successor else store_age_s
-        version = node.leadership.version
+    version = node.leadership.version
+    for group in due:
         message = LeaderBeat(
-            node.address, term.token, age_s, pending, addresses, version
+            node.address,
+            term.token,
+            store_age_s,
+            pending,
+            group.nodes,
+            version,
+            group.interval_s,
         )
-        node.peers.send(address, message)
+        others = [a for a in group.addresses if a != term.successor]
+        node.peers.send_all(others, message)
+        if len(others) < len(group.addresses):
+            # A stale store age lets the successor claim the row, and claim again if a
+            # claim fails.
+            stale = message._replace(store_age_s=leadership.STORE_STALE_S)
+            node.peers.send(term.successor, stale)
+
+
+def _known_peers(node, term, now):
+    """Return the Peers that get heartbeats; a new term adds the inherited ones."""
+    found = {
+        address: heartbeats.Peer(address, name in term.weak, name in term.leaving)
+        for name, (address, _) in term.nodes.items()
+    }
+    if now - term.started_at < NODE_TIMEOUT_S:
+        for address in term.inherited_peers:
+            found.setdefault(address, heartbeats.Peer(address))
+    found.pop(node.address, None)
+    return list(found.values())
+
+
+def _forget_silent_nodes(node, term, now, count):
+    interval_s = heartbeats.follower_interval_s(count)
+    limit_s = max(NODE_TIMEOUT_S, KEPT_INTERVALS * interval_s)
+    for name, (address, last_hello_at) in list(term.nodes.items()):
+        if last_hello_at is not None and now - last_hello_at > limit_s:
+            del term.nodes[name]
+            node.peers.disconnect(address)
 
 
 def _commit(node, term, effect):
--- a/cornelward/node_messages.py
+++ b/cornelward/node_messages.py
@@ -40,12 +40,14 @@
         heartbeat.store_age_s,
         heartbeat.token,
         heartbeat.row_version,
+        heartbeat.interval_s,
     ):
         return
     node_jobs.set_pending_counts(node, heartbeat.pending)
-    node.peer_state.peers = [a for a in heartbeat.nodes if a != node.address]
+    if heartbeat.nodes:
+        node.peer_state.peers = [a for a in heartbeat.nodes if a != node.address]
     _note_incarnation(node, envelope, heartbeat.address)
-    node_shell.send_hello(node, heartbeat.address)
+    node_shell.answer_heartbeat(node, heartbeat)
 
 
 def _note_incarnation(node, envelope, address):
--- a/cornelward/node_takeover.py
+++ b/cornelward/node_takeover.py
@@ -174,7 +174,7 @@
     )
     _follow_registry(node, term, registry.version)
     _follow_jobs(node, term, min(r["jobs"].version for r in rows.values()))
-    node_leader.send_heartbeats(node, term, now)
+    node_leader.send_heartbeats(node, term, now, urgent=True)
     node_leader.schedule_step(node)
 
 
--- a/cornelward/peers.py
+++ b/cornelward/peers.py
@@ -55,9 +55,18 @@
 
     def send(self, addr, message):
         """Send to the inbox at ``addr``; return False if the message was dropped."""
+        return self._send_data(addr, encode(self._sender, self._incarnation, message))
+
+    def send_all(self, addrs, message):
+        """Send one message to several inboxes; it is encoded once."""
+        data = encode(self._sender, self._incarnation, message)
+        for addr in addrs:
+            self._send_data(addr, data)
+
+    def _send_data(self, addr, data):
         outbox = self._outboxes.get(addr) or self._connect(addr)
         try:
-            outbox.send(encode(self._sender, self._incarnation, message), block=False)
+            outbox.send(data, block=False)
         except pynng.exceptions.NNGException:
             return False
         return True
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -7,6 +7,11 @@
 from testtools.matchers import Equals, HasLength, Is, LessThan
 
 from cornelward import leadership
+from cornelward.heartbeats import (
+    FOLLOWER_INTERVAL_S,
+    MAX_FOLLOWER_INTERVAL_S,
+    STANDBY_INTERVAL_S,
+)
 from cornelward.leadership import (
     LEASE_S,
     STORE_STALE_S,
@@ -15,7 +20,6 @@
     Leadership,
     encode_row,
 )
-from cornelward.node_leader import HEARTBEAT_INTERVAL_S
 
 
 @pytest.fixture
@@ -93,14 +97,17 @@
     assert_that(leadership.on_row_read(follower, 1.4, successor), Equals([]))
 
 
-def test_follower_does_not_poll_while_every_second_heartbeat_arrives(follower):
+@pytest.mark.parametrize(
+    "interval_s", [STANDBY_INTERVAL_S, FOLLOWER_INTERVAL_S, MAX_FOLLOWER_INTERVAL_S]
+)
+def test_follower_does_not_poll_while_every_second_heartbeat_arrives(
+    follower, interval_s
+):
     # Every second heartbeat is lost.
     for i in range(20):
-        now = i * 2 * HEARTBEAT_INTERVAL_S
-        leadership.on_heartbeat(follower, now, "10.0.0.9:1", 0.3, 3)
-        assert_that(
-            leadership.tick(follower, now + 2 * HEARTBEAT_INTERVAL_S), Equals([])
-        )
+        now = i * 2 * interval_s
+        leadership.on_heartbeat(follower, now, "10.0.0.9:1", 0.3, 3, 5, interval_s)
+        assert_that(leadership.tick(follower, now + 2 * interval_s), Equals([]))
 
 
 def test_dead_leader_is_replaced_within_two_seconds(follower):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -140,11 +140,11 @@
     term, now = leader.leader, leader.deps.now()
     sent = []
     leader.peers = types.SimpleNamespace(
-        send=lambda address, message: sent.append(address),
+        send_all=lambda addresses, message: sent.extend(addresses),
         disconnect=lambda address: None,
     )
     term.started_at, term.inherited_peers = now, ("10.0.0.9:1",)
-    node_leader.send_heartbeats(leader, term, now)
+    node_leader.send_heartbeats(leader, term, now, urgent=True)
     assert_that(sent, Contains("10.0.0.9:1"))
     node_leader.on_hello(leader, "n9", LeaderHello("10.0.0.9:1"))
     assert_that(term.dispatcher.advising.nodes, Contains("n9"))
@@ -157,7 +157,7 @@
     leader = cluster.leader()
     before, sent = leader.leadership.version, []
     leader.peers = types.SimpleNamespace(
-        send=lambda address, message: sent.append(message),
+        send_all=lambda addresses, message: sent.append(message),
         disconnect=lambda address: None,
     )
     cluster.wait(lambda: leader.leadership.version != before)
--- a/tests/test_node_jobs.py
+++ b/tests/test_node_jobs.py
@@ -8,7 +8,7 @@
 from testtools.matchers import Equals
 
 from cornelward import node_jobs
-from cornelward.leadership import Leadership
+from cornelward.leadership import HEARTBEAT_TIMEOUT_S, Leadership
 from cornelward.node_inserts import LEADER_STORE_FRESH_S
 from cornelward.store_health import StoreHealth
 
@@ -49,11 +49,31 @@
 
 def test_request_to_a_silent_leader_is_given_up(node):
     replies = send_request(node)
-    node.now = 10.0 + node_jobs.LEADER_HEARTBEAT_TIMEOUT_S
+    node.now = 10.0 + HEARTBEAT_TIMEOUT_S
     node_jobs.tick(node)
     assert_that(replies, Equals([None]))
 
 
+def test_request_to_a_replaced_leader_is_given_up(node):
+    # Guards against callers that wait their whole deadline for a frozen leader although
+    # its successor has made itself known (answers 504 on the large site).
+    replies = send_request(node)
+    node.leadership.leader_address = "10.0.0.8:1"
+    node.leadership.leader_seen_at = node.now
+    node_jobs.tick(node)
+    assert_that(replies, Equals([None]))
+
+
+def test_request_to_a_peer_outlives_a_change_of_leader(node):
+    replies = []
+    node_jobs.send_request(
+        node, "10.0.0.7:1", lambda request_number: request_number, 3.0, replies.append
+    )
+    node.leadership.leader_address = "10.0.0.8:1"
+    node_jobs.tick(node)
+    assert_that(replies, Equals([]))
+
+
 def test_request_to_a_leader_that_lost_the_store_is_given_up(node):
     # In one incident (16.5 s), 23 jobs of the same time window waited for a leader
     # that had lost the store.
