Let the accepting node carry out the starts of wide jobs, and ask for advice early

Quotes then waited 178 ms (half) from acceptance to start; advice was asked only after the insert.

Change: a leader hands the starts of a wide job to the node that accepted it, which keeps the payload, and names only tasks and workers. An order without a result in time is stopped, as any unanswered one; a node that does not keep the payload, was paused, or knows a later leader sends none. Advice is asked while the job is being stored.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -11,7 +11,7 @@
 from . import staged_jobs as jobs
 from . import workers as worker_table
 from .dispatch_effects import Reply, Start
-from .dispatch_plan import plan
+from .dispatch_plan import ask_early, plan
 from .dispatch_polls import drop_lost_workers, send_polls
 from .dispatch_runs import (
     discard_run,
@@ -34,6 +34,7 @@
     "Dispatcher",
     "add_accepted_job",
     "cancel",
+    "expect_job",
     "on_advice_result",
     "on_commit_result",
     "pending_by_queue",
@@ -51,6 +52,8 @@
 # Interval of the checks of all workers and runs; between sweeps only the workers
 # affected by events are checked.
 SWEEP_INTERVAL_S = 0.05
+# A job that was not stored within this time is no longer expected.
+MAX_EXPECTED_S = 4.0
 # Runs on a draining worker are stopped ``stop_s`` plus this margin before it leaves:
 # the stop request has to reach the worker, and the leader has to learn of the end.
 DRAIN_STOP_MARGIN_S = 0.4
@@ -73,6 +76,8 @@
             for part, version in fences.items()
         }
         self.jobs = {}
+        # Jobs that are being stored: id -> Job, for its tickets.
+        self.expected_jobs = {}
         # Outcome of the finished jobs: id -> state.
         self.finished = {}
         self.workers = {}
@@ -101,11 +106,36 @@
     state.needs_plan = True
 
 
-def add_accepted_job(state, now, spec, version, accepted_at):
-    """Add an accepted job; does nothing if the job is known."""
+def expect_job(state, now, spec):
+    """Ask for advice about the first steps of a job while it is being stored."""
+    if spec.id in state.jobs or spec.id in state.finished or spec.occurrences:
+        return
+    if spec.id not in state.expected_jobs:
+        job = jobs.new_job(spec, 0, now)
+        state.expected_jobs[spec.id] = job
+        ask_early(state, now, job)
+
+
+def _forget_expected_jobs(state, now):
+    """Forget jobs that were not stored."""
+    for job_id, job in list(state.expected_jobs.items()):
+        if now - job.accepted_at > MAX_EXPECTED_S:
+            del state.expected_jobs[job_id]
+
+
+def add_accepted_job(state, now, spec, version, accepted_at, entry=None):
+    """Add an accepted job; does nothing if the job is known.
+
+    ``entry`` is the address of the node that accepted it, if that has its payload.
+    """
     if spec.id in state.jobs or spec.id in state.finished:
         return
-    _add_job(state, jobs.new_job(spec, version, accepted_at))
+    job = jobs.new_job(spec, version, accepted_at)
+    job.entry = entry
+    expected = state.expected_jobs.pop(spec.id, None)
+    if expected is not None:
+        job.tickets = expected.tickets
+    _add_job(state, job)
 
 
 def restore_job(state, spec, version, record, record_version, accepted_at, now):
@@ -340,6 +370,7 @@
     if is_sweep:
         state.sweep_at = now + SWEEP_INTERVAL_S
         advising.expire_calls(state.advising, now)
+        _forget_expected_jobs(state, now)
         drop_lost_workers(state, now)
         _stop_runs_on_leaving_workers(state, now)
         retry_stops(state, now)
--- a/cornelward/dispatch_plan.py
+++ b/cornelward/dispatch_plan.py
@@ -11,7 +11,7 @@
 from .dispatch_runs import mark_dirty
 from .staged_jobs import PLACED
 
-__all__ = ["MAX_UNPLACED_JOBS", "plan"]
+__all__ = ["MAX_UNPLACED_JOBS", "ask_early", "plan"]
 
 # Only the first steps in planning order have expired tickets renewed while they wait
 # for capacity.
@@ -91,6 +91,18 @@
     return len(placed)
 
 
+def ask_early(state, now, job):
+    """Ask the policy service about the first steps of a job that is being stored."""
+    queue = state.queues.get(job.spec.queue.name, job.spec.queue)
+    if queue.advice is None:
+        return
+    this_pass = PlanningPass(now, state.capacity)
+    for key, tasks in job.tasks.items():
+        if not job.spec.steps[key[1]].after:
+            candidate = planning.Candidate(job, key, tasks, {})
+            _ask(state, this_pass, candidate, queue, 0)
+
+
 def _place(state, now, job, placement):
     task, worker = placement.task, placement.worker
     step_tasks = job.tasks[task.key[:2]]
--- a/cornelward/messages.py
+++ b/cornelward/messages.py
@@ -31,6 +31,9 @@
     "SlotGrant",
     "SlotRequest",
     "SlotReturn",
+    "StartOrder",
+    "StartOrders",
+    "StartResults",
     "StateReply",
     "StateRequest",
     "ViewAnnounce",
@@ -255,6 +258,41 @@
     approved: list[tuple[str, str]] | None
 
 
+class StartOrder(NamedTuple):
+    """An order to start an attempt of a task on a worker at ``address``.
+
+    ``deadline_s`` is the end of the worker's lease, on the worker's clock. ``ticket``
+    and ``checkpoint`` are empty if there is none.
+    """
+
+    worker: str
+    address: str
+    task: str
+    attempt: int
+    deadline_s: float
+    ticket: str
+    checkpoint: str
+
+
+class StartOrders(NamedTuple):
+    """Asks the node that accepted a job to start some of its tasks.
+
+    ``token`` is the leader's fencing token; the results go to ``address``.
+    """
+
+    address: str
+    token: int
+    job_id: str
+    orders: list[StartOrder]
+
+
+class StartResults(NamedTuple):
+    """What became of start orders: (worker, task, attempt, answer) of each."""
+
+    token: int
+    results: list[tuple[str, str, int, str]]
+
+
 class Envelope(NamedTuple):
     """A decoded message with the id and incarnation of its sender."""
 
@@ -285,6 +323,8 @@
         SlotGrant,
         SlotRequest,
         SlotReturn,
+        StartOrders,
+        StartResults,
         StateReply,
         StateRequest,
         ViewAnnounce,
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -76,6 +76,7 @@
         self.last_hello_at = 0.0
         # When the last message from another node arrived.
         self.last_message_at = clock()
+        self.ticked_at = clock()
         self.stopping_at = None
         self.stopped = False
 
@@ -174,6 +175,7 @@
     if node.leader is not None:
         node_leader.tick(node)
     node_jobs.tick(node)
+    node.ticked_at = clock()
     _stop_when_drained(node)
 
 
--- a/cornelward/node_inserts.py
+++ b/cornelward/node_inserts.py
@@ -40,6 +40,8 @@
     uncertain: bool = False
     # The job came from a peer or was already sent to one: do not send it to another.
     by_peer: bool = False
+    # Address of the peer that it came from.
+    entry: str | None = None
 
 
 def is_isolated(node, now):
@@ -85,8 +87,8 @@
         node.loop.call_later(RETRY_S, lambda: _route(node, attempt, on_outcome))
 
 
-def insert_for_peer(node, value, limit_s, on_outcome):
-    """Store a job for another node; ``limit_s`` is the time that is left for it."""
+def insert_for_peer(node, value, limit_s, entry, on_outcome):
+    """Store a job for the node at ``entry``; ``limit_s`` is the time left for it."""
     spec = decode_spec(value)
     now = node.deps.now()
     if spec is None or node.health.is_unavailable(now):
@@ -94,7 +96,8 @@
         # waiting for its deadline.
         on_outcome(REFUSED)
         return
-    _insert(node, Submission(spec, value, now + limit_s, by_peer=True), on_outcome)
+    submission = Submission(spec, value, now + limit_s, by_peer=True, entry=entry)
+    _insert(node, submission, on_outcome)
 
 
 def _insert(node, submission, on_outcome):
@@ -111,6 +114,8 @@
         else:
             on_outcome(outcome)
 
+    if node.leader is not None:
+        node.deps.leader_expect_job(node, spec)
     insert = Insert(spec.id, submission.value, submission.deadline, done)
     inserts.add(node.inserts, insert)
     # Jobs that arrive in the same loop iteration share a transaction.
@@ -184,7 +189,7 @@
         return
     log("info", "accepted", job=spec.id, queue=spec.queue.name)
     if node.leader is not None:
-        node.deps.leader_add_job(node, submission.value, version)
+        node.deps.leader_add_job(node, submission.value, version, submission.entry)
     elif node.leadership.leader_address:
         message = JobAccepted(version, submission.value)
         node.peers.send(node.leadership.leader_address, message)
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -28,6 +28,7 @@
     decode_spec,
     encode_spec,
 )
+from .start_relay import Payloads
 from .verdicts import Verdict
 
 __all__ = [
@@ -77,6 +78,7 @@
         self.final_states = {}
         # Addresses of the other nodes.
         self.peers = []
+        self.payloads = Payloads()
 
 
 def now_of(node):
@@ -170,6 +172,7 @@
     spec = spec._replace(accepted_at=node.store.clock(now) or 0.0)
     deadline = now + _timeout_s(call) - RESPONSE_MARGIN_S
     value = encode_spec(spec)
+    node.peer_state.payloads.add(spec.id, spec.payload)
     store_job(
         node,
         spec,
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -2,8 +2,9 @@
 
 import time
 
-from . import advising, dispatch, dispatch_runs, heartbeats, leadership
+from . import advising, dispatch, dispatch_runs, heartbeats, leadership, node_starts
 from .commits import Applied, Rows
+from .dispatch_effects import Start
 from .log import get_logger
 from .messages import AdviceRequest, LeaderBeat, LeaderResigned
 from .staged_jobs import decode_spec
@@ -63,10 +64,20 @@
         self.store_refusing = False
         self.step_scheduled = False
         self.store_reached_at = now
+        # When the last step ran, and since when the process may have been replaced as
+        # the leader without noticing; Start effects are held back meanwhile.
+        self.stepped_at = now
+        self.unconfirmed_since = None
+        self.held_starts = []
+        # (worker, task, attempt) -> Start effect that another node carries out.
+        self.relayed_starts = {}
 
 
-def on_job_accepted(node, value, version):
-    """Add a job to the dispatcher; ``value`` and ``version`` are those of its row."""
+def on_job_accepted(node, value, version, entry=None):
+    """Add a job to the dispatcher; ``value`` and ``version`` are those of its row.
+
+    ``entry`` is the address of the node that accepted it, if another one did.
+    """
     dispatcher = node.leader.dispatcher
     spec = decode_spec(value)
     if dispatcher is None:
@@ -80,11 +91,24 @@
     if spec.id not in dispatcher.jobs and spec.id not in dispatcher.finished:
         log("debug", "job_seen", job=spec.id)
     dispatch.add_accepted_job(
-        dispatcher, now, spec, version, to_node_clock(node, spec.accepted_at, now)
+        dispatcher,
+        now,
+        spec,
+        version,
+        to_node_clock(node, spec.accepted_at, now),
+        entry,
     )
     schedule_step(node)
 
 
+def expect_job(node, spec):
+    """Ask for advice about a job that is being stored."""
+    dispatcher = node.leader.dispatcher
+    if dispatcher is not None and not node.health.is_slow:
+        dispatch.expect_job(dispatcher, node.deps.now(), spec)
+        schedule_step(node)
+
+
 def to_node_clock(node, accepted_at, now):
     """Convert a time of the store's clock to this node's clock.
 
@@ -175,9 +199,15 @@
     if dispatcher.fenced_off:
         node.deps.lose_leadership(node, "a later leader has fenced off this one")
         return
+    node_starts.note_step(node, term)
     effects, dispatcher.effects = dispatcher.effects, []
+    starts = []
     for effect in effects:
-        EFFECTS[type(effect).__name__](node, term, effect)
+        if isinstance(effect, Start):
+            starts.append(effect)
+        else:
+            EFFECTS[type(effect).__name__](node, term, effect)
+    node_starts.execute_starts(node, term, starts)
 
 
 def tick(node):
@@ -209,6 +239,7 @@
     """
     term = node.leader
     if term.dispatcher is not None and not term.closed:
+        node_starts.confirm_term(node, term)
         term.beats.standbys_at = None
         send_heartbeats(node, term, node.deps.now())
 
@@ -287,19 +318,6 @@
     return silent_s < MAX_STORE_OUTAGE_S
 
 
-def _start(node, term, effect):
-    def done(answer):
-        if term.closed:
-            return
-        now = node.deps.now()
-        dispatch_runs.on_start_result(term.dispatcher, now, effect.run, answer)
-        schedule_step(node)
-
-    run = effect.run
-    log("info", "start", task=run.name, run=run.attempt, worker=run.worker)
-    node.deps.worker_commands.start(effect, term.token, done)
-
-
 def _stop(node, term, effect):
     def done(acknowledged):
         if term.closed:
@@ -365,7 +383,6 @@
 
 EFFECTS = {
     "Commit": _commit,
-    "Start": _start,
     "Stop": _stop,
     "Poll": _poll,
     "AskAdvice": _ask_advice,
--- a/cornelward/node_messages.py
+++ b/cornelward/node_messages.py
@@ -1,6 +1,6 @@
 """Handlers for the messages that a node receives from other nodes."""
 
-from . import leadership, node_inserts, node_jobs, node_leader
+from . import leadership, node_inserts, node_jobs, node_leader, node_starts
 from . import node as node_shell
 from .messages import (
     AdviceReply,
@@ -13,6 +13,8 @@
     LeaderBeat,
     LeaderHello,
     LeaderResigned,
+    StartOrders,
+    StartResults,
     StateReply,
     StateRequest,
 )
@@ -77,14 +79,17 @@
 
 def _on_accepted(node, envelope, message):
     if node.leader is not None:
-        node_leader.on_job_accepted(node, message.spec, message.version)
+        entry, _ = node.leader.nodes.get(envelope.sender, (None, None))
+        node_leader.on_job_accepted(node, message.spec, message.version, entry)
 
 
 def _on_insert_request(node, envelope, message):
     def done(outcome):
         node.peers.send(message.address, InsertReply(message.request_number, outcome))
 
-    node_inserts.insert_for_peer(node, message.spec, message.limit_s, done)
+    node_inserts.insert_for_peer(
+        node, message.spec, message.limit_s, message.address, done
+    )
 
 
 def _on_state_request(node, envelope, message):
@@ -115,6 +120,15 @@
         node_leader.on_advice_reply(node, message.call_id, message.approved)
 
 
+def _on_start_orders(node, envelope, message):
+    node_starts.on_start_orders(node, message)
+
+
+def _on_start_results(node, envelope, message):
+    if node.leader is not None and message.token == node.leader.token:
+        node_starts.on_start_results(node, node.leader, message)
+
+
 def _on_reply(node, envelope, message):
     node_jobs.complete_request(node, message.request_number, message[1])
 
@@ -132,4 +146,6 @@
     CancelReply: _on_reply,
     AdviceRequest: _on_advice_request,
     AdviceReply: _on_advice_reply,
+    StartOrders: _on_start_orders,
+    StartResults: _on_start_results,
 }
--- /dev/null
+++ b/cornelward/node_starts.py
@@ -0,0 +1,181 @@
+"""Start orders of the leading node: sent directly, or by the node that has the payload.
+
+A leader whose process was paused holds its start orders back until it has renewed its
+row: another node may have taken over meanwhile.
+"""
+
+from . import dispatch_runs
+from .log import get_logger
+from .messages import StartOrder, StartOrders, StartResults
+from .start_relay import is_worth_relaying
+from .workers import SENT
+
+__all__ = [
+    "confirm_term",
+    "execute_starts",
+    "note_step",
+    "on_start_orders",
+    "on_start_results",
+]
+
+log = get_logger("node_starts")
+
+# A process that did nothing for this long was paused, and what it is about to do may be
+# outdated. Nodes tick ten times a second.
+PAUSED_AFTER_S = 1.0
+# A relayed start without a result after this time counts as unanswered.
+RELAY_TIMEOUT_S = 1.1
+# The results of one batch of orders that arrive within this time share a message.
+RESULTS_DELAY_S = 0.02
+
+
+# On the leader
+
+
+def note_step(node, term):
+    """Notice that the process was paused; returns whether starts are held back."""
+    now = node.deps.now()
+    if now - term.stepped_at > PAUSED_AFTER_S:
+        log("warning", "resumed", paused_s=round(now - term.stepped_at, 2))
+        term.unconfirmed_since = now
+        # The row is renewed at the next tick.
+        node.leadership.last_request_at = None
+    term.stepped_at = now
+    return term.unconfirmed_since is not None
+
+
+def confirm_term(node, term):
+    """Send the starts held back, if the row was renewed since the pause."""
+    sent_at = node.leadership.last_request_at
+    if term.unconfirmed_since is None:
+        return
+    if sent_at is not None and sent_at >= term.unconfirmed_since:
+        term.unconfirmed_since = None
+        held, term.held_starts = term.held_starts, []
+        execute_starts(node, term, held)
+
+
+def execute_starts(node, term, effects):
+    """Carry out the Start effects, or hold them back until the term is confirmed."""
+    if term.unconfirmed_since is not None:
+        term.held_starts += effects
+        return
+    batches = {}
+    for effect in effects:
+        batches.setdefault(effect.run.job.spec.id, []).append(effect)
+    for batch in batches.values():
+        job = batch[0].run.job
+        if job.entry in node.peer_state.peers and is_worth_relaying(
+            len(batch), len(job.spec.payload)
+        ):
+            _relay(node, term, job.entry, batch)
+        else:
+            for effect in batch:
+                _start(node, term, effect)
+
+
+def _order_of(effect):
+    run = effect.run
+    return StartOrder(
+        run.worker,
+        effect.address,
+        run.name,
+        run.attempt,
+        effect.deadline_s,
+        effect.ticket,
+        run.checkpoint,
+    )
+
+
+def _log_start(run, by):
+    log("info", "start", task=run.name, run=run.attempt, worker=run.worker, by=by)
+
+
+def _report(node, term, run, answer):
+    if term.closed:
+        return
+    now = node.deps.now()
+    dispatch_runs.on_start_result(term.dispatcher, now, run, answer)
+    node.deps.schedule_step(node)
+
+
+def _start(node, term, effect):
+    def done(answer):
+        _report(node, term, effect.run, answer)
+
+    _log_start(effect.run, node.settings.node)
+    payload = effect.run.job.spec.payload
+    node.deps.worker_commands.start(_order_of(effect), payload, term.token, done)
+
+
+def _relay(node, term, address, batch):
+    orders = [_order_of(effect) for effect in batch]
+    keys = [(o.worker, o.task, o.attempt) for o in orders]
+    job_id = batch[0].run.job.spec.id
+    if not node.peers.send(
+        address, StartOrders(node.address, term.token, job_id, orders)
+    ):
+        for effect in batch:
+            _start(node, term, effect)
+        return
+    for key, effect in zip(keys, batch, strict=True):
+        _log_start(effect.run, address)
+        term.relayed_starts[key] = effect
+
+    def give_up():
+        for key in keys:
+            effect = term.relayed_starts.pop(key, None)
+            if effect is not None:
+                _report(node, term, effect.run, "unknown")
+
+    node.loop.call_later(RELAY_TIMEOUT_S, give_up)
+
+
+def on_start_results(node, term, message):
+    """Take the results of relayed starts; what was not sent is sent directly."""
+    for worker, task, attempt, answer in message.results:
+        effect = term.relayed_starts.pop((worker, task, attempt), None)
+        if effect is None or term.closed:
+            continue
+        if answer == "unsent" and effect.run.state == SENT:
+            execute_starts(node, term, [effect])
+        else:
+            _report(node, term, effect.run, answer)
+
+
+# On the node that accepted the job
+
+
+def on_start_orders(node, message):
+    """Carry out the leader's start orders, unless they may be outdated."""
+    payload = node.peer_state.payloads.get(message.job_id)
+    known_token = node.leadership.heartbeat_token or 0
+    paused = node.deps.now() - node.ticked_at > PAUSED_AFTER_S
+    if payload is None or paused or message.token < known_token:
+        log(
+            "info",
+            "orders_not_sent",
+            job=message.job_id,
+            token=message.token,
+            paused=paused,
+        )
+        results = [(o.worker, o.task, o.attempt, "unsent") for o in message.orders]
+        node.peers.send(message.address, StartResults(message.token, results))
+        return
+    results = []
+
+    def send_results():
+        answered = list(results)
+        results.clear()
+        if answered:
+            node.peers.send(message.address, StartResults(message.token, answered))
+
+    def done(order, answer):
+        if not results:
+            node.loop.call_later(RESULTS_DELAY_S, send_results)
+        results.append((order.worker, order.task, order.attempt, answer))
+
+    for order in message.orders:
+        node.deps.worker_commands.start(
+            order, payload, message.token, lambda answer, o=order: done(o, answer)
+        )
--- a/cornelward/platform/compose.py
+++ b/cornelward/platform/compose.py
@@ -43,6 +43,8 @@
     decode_job: Any
     decode_worker: Any
     leader_add_job: Any
+    leader_expect_job: Any
+    schedule_step: Any
     leader_job_state: Any
     leader_cancel_job: Any
     set_pending_counts: Any
@@ -119,6 +121,8 @@
         decode_job=decode_job,
         decode_worker=decode_worker,
         leader_add_job=node_leader.on_job_accepted,
+        leader_expect_job=node_leader.expect_job,
+        schedule_step=node_leader.schedule_step,
         leader_job_state=node_leader.state_of,
         leader_cancel_job=node_leader.cancel,
         set_pending_counts=node_jobs.set_pending_counts,
--- a/cornelward/platform/worker_commands.py
+++ b/cornelward/platform/worker_commands.py
@@ -36,9 +36,11 @@
 
 
 class WorkerCommands(NamedTuple):
-    """Functions ``start(effect, token, on_done)``, ``stop(...)`` and ``poll(...)``.
+    """Functions ``start``, ``stop`` and ``poll``.
 
-    ``token`` is the leader's fencing token. ``on_done`` gets the result:
+    ``start(order, payload, token, on_done)`` takes a StartOrder, ``stop(effect, token,
+    on_done)`` and ``poll(effect, token, on_done)`` an effect. ``token`` is the leader's
+    fencing token. ``on_done`` gets the result:
 
     - ``start``: ``ok``, ``unsent`` (the command was not sent), ``unknown`` (there was
       no response), ``gone`` (the executor has restarted), ``status N`` for another HTTP
@@ -91,19 +93,18 @@
 
 
 def _make_start(call):
-    def start(effect, token, on_done):
-        run = effect.run
+    def start(order, payload, token, on_done):
         body = {
-            "task": run.name,
-            "run": run.attempt,
-            "spec": run.job.spec.payload,
-            "deadline_ms": int(effect.deadline_s * 1000),
+            "task": order.task,
+            "run": order.attempt,
+            "spec": payload,
+            "deadline_ms": int(order.deadline_s * 1000),
             "fencing_token": token,
         }
-        if effect.ticket:
-            body["ticket"] = effect.ticket
-        if run.checkpoint:
-            body["last_checkpoint"] = run.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        if order.checkpoint:
+            body["last_checkpoint"] = order.checkpoint
 
         def finish(result):
             if result.status is None:
@@ -119,10 +120,10 @@
 
         call(
             "start",
-            effect.address,
+            order.address,
             "/run-start",
             body,
-            run.worker,
+            order.worker,
             COMMAND_TIMEOUT_S,
             finish,
         )
--- a/cornelward/staged_jobs.py
+++ b/cornelward/staged_jobs.py
@@ -4,6 +4,7 @@
 the same size. Times are in seconds, processors in thousandths of a core.
 """
 
+import zlib
 from typing import NamedTuple
 
 import msgspec
@@ -183,6 +184,7 @@
         "counted_as_pending",
         "deadline",
         "dirty",
+        "entry",
         "outcome",
         "ready_steps",
         "record_version",
@@ -210,6 +212,8 @@
         # Whether a start was recorded, and whether a worker has reported a run.
         self.started = self.run_seen = False
         self.dirty = False
+        # Address of the node that accepted the job and has its payload, if known.
+        self.entry = None
         # Effects to carry out once the current state is recorded.
         self.after_commit = []
         # (occurrence, step) -> Tickets of the policy service.
@@ -289,9 +293,14 @@
         for t in tasks
         if t.attempt or t.state != WAITING
     ]
-    return msgspec.msgpack.encode((job.outcome or "", job.started, rows))
+    data = msgspec.msgpack.encode((job.outcome or "", job.started, rows))
+    return zlib.compress(data, 1) if len(data) >= COMPRESSED_BYTES else data
 
 
+# Records of at least this size are compressed. A compressed one begins with this byte,
+# which does not begin a MessagePack array.
+COMPRESSED_BYTES = 200
+ZLIB_MARK = b"\x78"
 Record = tuple[str, bool, list[tuple[int, int, int, str, int, str, int, str]]]
 _record_decoder = msgspec.msgpack.Decoder(Record)
 
@@ -299,8 +308,10 @@
 def decode_record(data):
     """Return (outcome, started, rows) of a record, or None if it is invalid."""
     try:
+        if data[:1] == ZLIB_MARK:
+            data = zlib.decompress(data)
         return _record_decoder.decode(data)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, zlib.error):
         return None
 
 
--- a/tests/fixtures_load.py
+++ b/tests/fixtures_load.py
@@ -149,8 +149,13 @@
         return {name: sum(hits) / len(hits) for name, hits in found.items()}
 
 
-def replay_load(seed, kinds=LARGE_SITE, share=0.15, seconds=12.0, tail_s=14.0):
-    """Play a share of the large site's load; return the LoadSim after it."""
+def replay_load(
+    seed, kinds=LARGE_SITE, share=0.15, seconds=12.0, tail_s=14.0, burst=None
+):
+    """Play a share of the large site's load; return the LoadSim after it.
+
+    ``burst`` is (queue name, factor, first second, last second).
+    """
     sim = LoadSim(seed, kinds, round(270 * share), max(4, round(97 * share)))
     sim.start_leader()
     sim.run(0.5)
@@ -158,7 +163,10 @@
     for kind in kinds:
         at = 0.5
         while at < seconds:
-            at += sim.rng.expovariate(kind.per_s * share)
+            per_s = kind.per_s * share
+            if burst and burst[0] == kind.queue.name and burst[2] <= at < burst[3]:
+                per_s *= burst[1]
+            at += sim.rng.expovariate(per_s)
             number += 1
             sim.after(at - sim.now, lambda k=kind, n=number: sim.submit_kind(k, n))
     while sim.now < seconds + tail_s:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -4,12 +4,21 @@
 start out of order and jobs that never finish.
 """
 
+import msgspec
 import pytest
 from fixtures_dispatch import ADVISED, Report, Sim, steps_of
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength
-
-from cornelward import dispatch, dispatch_polls, dispatch_runs, workers
+from testtools.matchers import Equals, HasLength, LessThan
+
+from cornelward import (
+    dispatch,
+    dispatch_polls,
+    dispatch_runs,
+    staged_jobs,
+    workers,
+)
+from cornelward.dispatch_effects import AskAdvice
+from cornelward.staged_jobs import JobSpec
 
 SEEDS = range(12)
 JOBS = 12
@@ -338,3 +347,41 @@
     sim.run(20.0)
     assert_that(dispatch.pending_by_queue(core), Equals({}))
     assert_that(dispatch.state_of(core, "a" * 16), Equals("completed"))
+
+
+def test_record_of_a_wide_job_is_small_and_an_older_one_can_be_read():
+    # Records took 75 of the leader's 250 KB/s on the small twin of the large site.
+    sim = Sim(1, workers=6)
+    sim.start_leader()
+    sim.submit("a" * 16, steps_of(20, cpu=1_000, estimate_s=30.0))
+    sim.run(1.0)
+    job = sim.leader.core.jobs["a" * 16]
+    data = staged_jobs.encode_record(job)
+    plain = msgspec.msgpack.encode(staged_jobs.decode_record(data))
+    assert_that(2 * len(data), LessThan(len(plain)))
+    assert_that(
+        staged_jobs.decode_record(plain), Equals(staged_jobs.decode_record(data))
+    )
+    assert_that(staged_jobs.decode_record(b"\x78 not compressed"), Equals(None))
+
+
+def test_advice_is_asked_while_the_job_is_being_stored():
+    sim = Sim(1)
+    sim.start_leader()
+    sim.run(0.5)
+    core = sim.leader.core
+    spec = JobSpec("a" * 16, ADVISED, "text", tuple(steps_of(2)))
+    dispatch.expect_job(core, sim.now, spec)
+    asked = [e for e in core.effects if isinstance(e, AskAdvice)]
+    assert_that(asked, HasLength(1))
+    sim.leader.step()
+    sim.run(0.1)
+    sim.submit("a" * 16, steps_of(2), ADVISED)
+    sim.leader.step()
+    # The tickets are there: the tasks are placed without another call.
+    assert_that(core.jobs["a" * 16].started, Equals(True))
+    # A job that was never stored is forgotten.
+    dispatch.expect_job(core, sim.now, spec._replace(id="b" * 16))
+    sim.run(dispatch.MAX_EXPECTED_S + 0.2)
+    assert_that(core.expected_jobs, Equals({}))
+    assert_that(sim.violations, Equals([]))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -30,6 +30,8 @@
     "sortedcontainers",
     "typing",
     "xxhash",
+    # Compression of bytes in memory.
+    "zlib",
 }
 
 
--- /dev/null
+++ b/tests/test_start_relay.py
@@ -0,0 +1,184 @@
+"""Start orders: relayed to the accepting node, and held back after a pause."""
+
+from types import SimpleNamespace
+
+import pytest
+from fixtures_dispatch import Sim, steps_of
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
+
+from cornelward import dispatch, node_starts
+from cornelward.dispatch_effects import Start
+from cornelward.messages import StartOrder, StartOrders, StartResults, encode
+from cornelward.node_jobs import PeerState
+from cornelward.node_leader import LeaderTerm
+from cornelward.start_relay import Payloads, is_worth_relaying
+
+JOB = "a" * 16
+ENTRY = "10.0.0.5:1"
+
+
+@pytest.fixture
+def node():
+    """Return a leading node that records what it sends; ``now`` is its clock."""
+    node = SimpleNamespace(now=10.0, messages=[], orders=[], answers=[], timers=[])
+    node.address = "10.0.0.1:1"
+    node.settings = SimpleNamespace(node="n1")
+    node.peers = SimpleNamespace(
+        send=lambda address, message: node.messages.append((address, message)) or True
+    )
+    node.loop = SimpleNamespace(
+        call_later=lambda delay_s, function: node.timers.append((delay_s, function))
+    )
+
+    def start(order, payload, token, on_done):
+        node.orders.append((order, payload, token))
+        node.answers.append(on_done)
+
+    node.deps = SimpleNamespace(
+        now=lambda: node.now,
+        schedule_step=lambda node: None,
+        worker_commands=SimpleNamespace(start=start),
+    )
+    node.peer_state = PeerState()
+    node.peer_state.peers = [ENTRY]
+    node.leadership = SimpleNamespace(last_request_at=9.9, heartbeat_token=None)
+    node.ticked_at = 10.0
+    return node
+
+
+def started_job(node, tasks=20, payload="x" * 2_400, entry=ENTRY):
+    """Return (term, Start effects) of a job whose starts are recorded."""
+    sim = Sim(1, workers=4, cpu=32_000)
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.run(0.2)
+    sim.leader.dead = True
+    core = sim.leader.core
+    sim.submit(JOB, steps_of(tasks))
+    core.jobs[JOB].spec = core.jobs[JOB].spec._replace(payload=payload)
+    core.jobs[JOB].entry = entry
+    for _ in range(3):
+        dispatch.step(core, sim.now, sim.now)
+        commits = [e for e in core.effects if type(e).__name__ == "Commit"]
+        starts = [e for e in core.effects if isinstance(e, Start)]
+        core.effects = []
+        for commit in commits:
+            result = sim.store.commit(commit.part, commit.expected, commit.writes)
+            dispatch.on_commit_result(core, sim.now, commit.part, result)
+        starts += [e for e in core.effects if isinstance(e, Start)]
+        if starts:
+            break
+    term = LeaderTerm(7, node.now)
+    term.dispatcher = core
+    return term, starts
+
+
+def test_payload_of_a_wide_job_does_not_cross_the_leaders_link(node):
+    # On the small twin of the large site starts took 110 of the leader's 250 KB/s, so
+    # that its messages waited up to 0.2 s.
+    term, starts = started_job(node)
+    node_starts.execute_starts(node, term, starts)
+    assert_that(node.orders, Equals([]))
+    ((address, message),) = node.messages
+    assert_that(address, Equals(ENTRY))
+    assert_that(message.orders, HasLength(20))
+    assert_that(len(encode("n1", 1, message)), LessThan(20 * 2_400 / 5))
+
+
+@pytest.mark.parametrize(
+    "fields", [{"tasks": 2, "payload": "x" * 300}, {"entry": None}, {"entry": "gone"}]
+)
+def test_small_jobs_and_jobs_of_unknown_entries_are_started_directly(node, fields):
+    term, starts = started_job(node, **fields)
+    node_starts.execute_starts(node, term, starts)
+    assert_that(node.messages, Equals([]))
+    assert_that(node.orders, HasLength(len(starts)))
+
+
+def test_orders_that_were_not_sent_are_sent_by_the_leader(node):
+    term, starts = started_job(node)
+    node_starts.execute_starts(node, term, starts)
+    orders = node.messages[0][1].orders
+    results = [(o.worker, o.task, o.attempt, "unsent") for o in orders]
+    # The entry does not keep the payload: its results must not be relayed again.
+    node.peer_state.peers = []
+    node_starts.on_start_results(node, term, StartResults(7, results))
+    assert_that(node.orders, HasLength(20))
+    node_starts.on_start_results(node, term, StartResults(7, results))
+    assert_that(node.orders, HasLength(20))
+
+
+def test_relayed_orders_without_a_result_are_stopped(node):
+    # The entry may have been frozen with the orders unread and carry them out later.
+    term, starts = started_job(node)
+    node_starts.execute_starts(node, term, starts)
+    term.dispatcher.effects = []
+    for _, function in node.timers:
+        function()
+    stops = [type(e).__name__ for e in term.dispatcher.effects]
+    assert_that(stops, Equals(["Stop"] * 20))
+
+
+def orders_message(token=7):
+    order = StartOrder("w0", "addr", f"{JOB}.0.0.0", 1, 100.0, "t", "")
+    return StartOrders(ENTRY, token, JOB, [order])
+
+
+def test_entry_carries_orders_out_and_reports_their_results(node):
+    node.peer_state.payloads.add(JOB, "text")
+    node_starts.on_start_orders(node, orders_message())
+    ((order, payload, token),) = node.orders
+    assert_that((order.task, payload, token), Equals((f"{JOB}.0.0.0", "text", 7)))
+    node.answers[0]("ok")
+    node.timers[0][1]()
+    ((_, message),) = node.messages
+    assert_that(message.results, Equals([("w0", f"{JOB}.0.0.0", 1, "ok")]))
+
+
+@pytest.mark.parametrize("reason", ["no payload", "paused", "former leader"])
+def test_entry_refuses_orders_that_may_be_outdated(node, reason):
+    if reason != "no payload":
+        node.peer_state.payloads.add(JOB, "text")
+    if reason == "paused":
+        node.ticked_at = node.now - node_starts.PAUSED_AFTER_S - 0.1
+    if reason == "former leader":
+        node.leadership.heartbeat_token = 8
+    node_starts.on_start_orders(node, orders_message())
+    assert_that(node.orders, Equals([]))
+    assert_that(node.messages[0][1].results[0][3], Equals("unsent"))
+
+
+def test_leader_that_was_paused_starts_nothing_before_it_renewed_its_row(node):
+    # A leader frozen from 20 s to 26 s sent starts at 26.00 s, three leaders later.
+    # Only the fence of each worker kept them from running.
+    term, starts = started_job(node)
+    node_starts.note_step(node, term)
+    node.now += 6.0
+    node_starts.note_step(node, term)
+    node_starts.execute_starts(node, term, starts)
+    # The answer to a renewal that was sent before the pause confirms nothing.
+    node_starts.confirm_term(node, term)
+    assert_that((node.orders, node.messages), Equals(([], [])))
+    assert_that(node.leadership.last_request_at, Equals(None))
+    node.leadership.last_request_at = node.now + 0.01
+    node_starts.confirm_term(node, term)
+    assert_that(node.messages, HasLength(1))
+
+
+def test_leader_that_is_only_slow_goes_on(node):
+    term, starts = started_job(node)
+    for _ in range(5):
+        node.now += 0.7
+        node_starts.note_step(node, term)
+    node_starts.execute_starts(node, term, starts)
+    assert_that(len(node.messages), GreaterThan(0))
+
+
+def test_kept_payloads_are_bounded():
+    payloads = Payloads(max_bytes=1_000)
+    for i in range(10):
+        payloads.add(str(i), "x" * 300)
+    assert_that(payloads.get("0"), Equals(None))
+    assert_that(payloads.get("9"), Equals("x" * 300))
+    assert_that(is_worth_relaying(1, 100_000), Equals(False))
