--- a/cornelward/settings.py
+++ b/cornelward/settings.py
@@ -10,6 +10,7 @@
 
 from .errors import SettingsError
 from .json_files import read_json
+from .leases import LEASE_MARGIN_S
 
 __all__ = [
     "COMMON_DEFAULTS",
@@ -18,6 +19,7 @@
     "SCHEDULER_DEFAULTS",
     "VALUE_RANGES",
     "load_settings",
+    "takeover_time_s",
 ]
 
 LOG_LEVELS = ("debug", "info", "warning", "error")
@@ -109,6 +111,37 @@
 )
 
 
+# Ticks that a takeover may wait for: to claim the row, to list the jobs, and to send
+# the calls that read a worker's clock and renew its lease.
+TAKEOVER_TICKS = 4
+
+
+def takeover_time_s(cfg):
+    """Return how long after its death an owner's workers may wait for a renewal.
+
+    A standby may see the owner's last renewal one poll late, and the end of its lease
+    another one.
+    """
+    return (
+        cfg["owner_lease_s"]
+        + LEASE_MARGIN_S
+        + 2 * cfg["owner_poll_s"]
+        + TAKEOVER_TICKS * cfg["tick_s"]
+    )
+
+
+def _check_takeover(cfg, source):
+    """Refuse worker leases that may run out before a successor renews them."""
+    if "worker_lease_s" not in cfg:
+        return
+    least_s = cfg["worker_renew_s"] + takeover_time_s(cfg)
+    if cfg["worker_lease_s"] < least_s:
+        raise SettingsError(
+            f"{source}: key 'worker_lease_s': expected at least {least_s:g}, or tasks"
+            " end while another scheduler takes over from a dead owner"
+        )
+
+
 # (key, key of the value that it must not exceed).
 KEY_AND_LIMIT_KEYS = (("default_timeout_ms", "max_timeout_ms"),)
 
@@ -190,6 +223,7 @@
             raise SettingsError(
                 f"{source}: key {key!r}: expected at most {limit_key!r}"
             )
+    _check_takeover(cfg, source)
     return cfg
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -120,6 +120,13 @@
         )
 
 
+def test_worker_lease_shorter_than_a_takeover_is_refused(refusal):
+    """Tasks would end and run again while another scheduler takes over."""
+    value = {**VALID_SETTINGS, "worker_renew_s": 2, "worker_lease_s": 7.4}
+    message = refusal(json.dumps(value), SCHEDULER_DEFAULTS)
+    assert_that(message, Contains("'worker_lease_s': expected at least 7.5"))
+
+
 @pytest.mark.parametrize(
     ("text", "expected"),
     [
