Keep a process and its feeds alive through malformed input and unexpected errors

Cause: int() of an infinite number in a registry entry raised OverflowError and ended the leader's feed of the registry for good; a step whose "after" holds a list raised TypeError outside the decoder, so that the caller got no answer; a report row of two entries raised in the core after half of the report; a job of 10^9 occurrences would have been opened by one leader after the other. Errors in handlers were swallowed without a line in the log, and an error in one effect dropped all effects after it.

Change: decoders check numbers and shapes; limits on the tasks of all occurrences; an error at a row, an effect or in a handler is logged with its reason and stops nothing else.

--- a/cornelward/loop.py
+++ b/cornelward/loop.py
@@ -14,8 +14,15 @@
 from circuits.core.events import started
 from circuits.core.pollers import EPoll
 
+from .log import get_logger
+
 __all__ = ["DescriptorSet", "Loop"]
 
+log = get_logger("loop")
+
+# Characters of a traceback that a log line shows, the last ones.
+MAX_TRACE = 1_000
+
 # The heap is rebuilt only if it holds more cancelled timers than this.
 MIN_CANCELLED_TIMERS = 1_000
 
@@ -126,6 +133,13 @@
         """
         signals.signal(signals.SIGHUP, lambda signo, frame: self.call_soon(function))
 
+    @handler("exception", channel="*")
+    def _on_exception(self, *args, **kwargs):
+        """Log an error that a handler did not expect; the process goes on."""
+        error = args[1] if len(args) > 1 else args
+        trace = "".join(args[2]) if len(args) > 2 and args[2] else ""
+        log("error", "handler_failed", reason=repr(error), trace=trace[-MAX_TRACE:])
+
     @handler("call")
     def _on_call(self, function):
         function()
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -208,7 +208,7 @@
         if isinstance(effect, Start):
             starts.append(effect)
         else:
-            EFFECTS[type(effect).__name__](node, term, effect)
+            _execute(node, term, effect)
     node_starts.execute_starts(node, term, starts)
     if dispatcher.needs_plan and not term.plan_scheduled:
         term.plan_scheduled = True
@@ -216,6 +216,15 @@
         node.loop.call_later(pause_s, lambda: _run_planned_step(node, term))
 
 
+def _execute(node, term, effect):
+    """Carry out one effect; an unexpected error must not stop those after it."""
+    try:
+        EFFECTS[type(effect).__name__](node, term, effect)
+    except Exception as exc:
+        name = type(effect).__name__
+        log("error", "effect_failed", effect=name, reason=repr(exc))
+
+
 def _run_planned_step(node, term):
     term.plan_scheduled = False
     if not term.closed:
--- a/cornelward/node_takeover.py
+++ b/cornelward/node_takeover.py
@@ -205,10 +205,19 @@
         dispatch.cancel(dispatcher, now, job_id, lambda value: None)
 
 
+def _decode_worker(node, row):
+    try:
+        return node.deps.decode_worker(row.key, row.value)
+    except Exception as exc:
+        # One entry must not end the feed that all others come from.
+        log("error", "registry_entry_failed", key=row.key, reason=repr(exc))
+        return None
+
+
 def _decode_workers(node, rows):
     found = []
     for row in rows:
-        info = node.deps.decode_worker(row.key, row.value) if row.value else None
+        info = _decode_worker(node, row) if row.value else None
         if info is not None:
             found.append(info)
         elif row.value is not None:
@@ -295,11 +304,17 @@
     for row in rows:
         if row.value is None:
             continue
-        if row.key.endswith(CANCEL_SUFFIX):
-            job_id = row.key.removesuffix(CANCEL_SUFFIX)
-            dispatch.cancel(
-                term.dispatcher, node.deps.now(), job_id, lambda value: None
-            )
-        else:
-            node_leader.on_job_accepted(node, row.value, row.version)
+        try:
+            _apply_job_row(node, term, row)
+        except Exception as exc:
+            # One row must not end the feed that all others come from.
+            log("error", "job_row_failed", key=row.key, reason=repr(exc))
     node_leader.schedule_step(node)
+
+
+def _apply_job_row(node, term, row):
+    if row.key.endswith(CANCEL_SUFFIX):
+        job_id = row.key.removesuffix(CANCEL_SUFFIX)
+        dispatch.cancel(term.dispatcher, node.deps.now(), job_id, lambda value: None)
+    else:
+        node_leader.on_job_accepted(node, row.value, row.version)
--- a/cornelward/platform/ingress.py
+++ b/cornelward/platform/ingress.py
@@ -56,7 +56,14 @@
                 receive_timeout_s=limits["header_timeout_ms"] / 1000,
             ),
         )
-    except (msgspec.DecodeError, AttributeError, KeyError, TypeError, ValueError):
+    except (
+        msgspec.DecodeError,
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ):
         return None
 
 
@@ -115,11 +122,12 @@
         msgspec.DecodeError,
         AttributeError,
         KeyError,
+        OverflowError,
         TypeError,
         ValueError,
     ) as exc:
         return None, f"cannot decode the job: {exc}"
-    problem = spec_problem(steps)
+    problem = spec_problem(steps, spec.occurrences)
     return (None, problem) if problem else (spec, None)
 
 
@@ -136,7 +144,7 @@
         memory_mb=int(raw.get("mem_mb", 0)),
         accelerators=int(raw.get("gpu", 0)),
         estimate_s=raw.get("estimate_ms", 0) / 1000,
-        after=tuple(raw.get("after", ())),
+        after=tuple(int(number) for number in raw.get("after", ())),
         gang=bool(raw.get("gang", False)),
         one_rack=bool(raw.get("tightly_coupled", False)),
         label=_require_text(raw.get("requires", "")),
--- a/cornelward/platform/worker_commands.py
+++ b/cornelward/platform/worker_commands.py
@@ -1,5 +1,6 @@
 """Client of the workers (the platform's executors) and of the policy service."""
 
+import math
 from typing import Any, NamedTuple
 
 import msgspec
@@ -29,10 +30,10 @@
 
     clock_s: float
     born: int
-    # Tuples (task, attempt, checkpoint, progress in percent).
-    running: list
-    # Tuples (number, task, attempt, how the run ended, checkpoint).
-    ended: list
+    # Task, attempt, checkpoint, progress in percent.
+    running: list[tuple[str, int, str, float]]
+    # Number, task, attempt, how the run ended, checkpoint.
+    ended: list[tuple[int, str, int, str, str]]
 
 
 class WorkerCommands(NamedTuple):
@@ -177,16 +178,20 @@
 
 
 def _decode_report(result):
-    body = result.json()
     try:
-        return PollReport(
-            body["clock_ms"] / 1000,
-            body.get("born", 0),
-            [tuple(row[:4]) for row in body["running"]],
-            [tuple(row[:5]) for row in body["finished"]],
+        body = result.json()
+        report = msgspec.convert(
+            (
+                body["clock_ms"] / 1000,
+                body.get("born", 0),
+                [row[:4] for row in body["running"]],
+                [row[:5] for row in body["finished"]],
+            ),
+            PollReport,
         )
-    except (AttributeError, KeyError, TypeError):
+    except (AttributeError, KeyError, TypeError, OverflowError, msgspec.MsgspecError):
         return None
+    return report if math.isfinite(report.clock_s) else None
 
 
 def connect_advice(client, addr):
@@ -229,7 +234,10 @@
         if raw["state"] not in ("ready", "draining"):
             return None
         numbers = [capacity.get(k, 0) for k in ("cpu", "mem_mb", "gpu")]
-        if any(type(n) is not int for n in numbers):
+        times = (raw.get("remaining_ms", 0), raw["clock_ms"], raw.get("born", 0))
+        if any(type(n) is not int for n in numbers) or min(numbers) < 0:
+            return None
+        if not all(math.isfinite(time) for time in times):
             return None
         texts = (raw["service"], raw["address"], raw["zone"], *labels)
         if any(type(t) is not str for t in texts):
@@ -250,5 +258,12 @@
             born=int(raw.get("born", 0)),
             clock_s=float(raw["clock_ms"]) / 1000,
         )
-    except (msgspec.DecodeError, AttributeError, KeyError, TypeError, ValueError):
+    except (
+        msgspec.DecodeError,
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ):
         return None
--- a/cornelward/staged_jobs.py
+++ b/cornelward/staged_jobs.py
@@ -44,6 +44,8 @@
 # Limits on one job; a larger one would not fit in a row of the store.
 MAX_STEPS = 200
 MAX_TASKS = 2_000
+# Limit on the tasks of all occurrences of one job: the leader opens all that are due.
+MAX_OCCURRENCE_TASKS = 20_000
 
 
 class AdvicePolicy(NamedTuple):
@@ -129,8 +131,8 @@
         return None
 
 
-def spec_problem(steps):
-    """Return why ``steps`` is invalid, or None if it is valid."""
+def spec_problem(steps, occurrences=0):
+    """Return why a job with these steps is invalid, or None if it is valid."""
     if not 0 < len(steps) <= MAX_STEPS:
         return f"a job has 1 to {MAX_STEPS} steps"
     for number, step in enumerate(steps):
@@ -140,8 +142,13 @@
             return f"step {number} demands a negative amount of a resource"
         if any(not 0 <= before < number for before in step.after):
             return f"step {number} must come after the steps that it waits for"
-    if sum(step.count for step in steps) > MAX_TASKS:
+    tasks = sum(step.count for step in steps)
+    if tasks > MAX_TASKS:
         return f"a job has at most {MAX_TASKS} tasks"
+    if occurrences < 0 or occurrences * tasks > MAX_OCCURRENCE_TASKS:
+        return f"a job has at most {MAX_OCCURRENCE_TASKS} tasks in all occurrences"
+    if any(not math.isfinite(step.estimate_s) or step.estimate_s < 0 for step in steps):
+        return "a step has an estimate that is no time"
     return None
 
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -385,3 +385,37 @@
     sim.run(dispatch.MAX_EXPECTED_S + 0.2)
     assert_that(core.expected_jobs, Equals({}))
     assert_that(sim.violations, Equals([]))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_tasks_of_a_worker_that_only_left_the_registry_run_on(seed):
+    # Its heartbeats to the store may be late or lost while it answers the leader.
+    sim = Sim(seed, workers=3)
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.submit("a" * 16, steps_of(9, estimate_s=8.0))
+    sim.run(1.0)
+    for worker in sim.workers.values():
+        sim.unlist(worker, sim.rng.uniform(1.0, 12.0))
+    sim.run(3.0)
+    if seed % 2:
+        sim.start_leader()
+    sim.run(30.0)
+    assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals("completed"))
+    assert_that(sum(worker.number for worker in sim.workers.values()), Equals(9))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_tasks_of_a_worker_that_is_silent_for_less_than_its_lease_run_on(seed):
+    sim = Sim(seed, workers=3)
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.submit("a" * 16, steps_of(9, estimate_s=12.0))
+    sim.run(2.0)
+    silent = sim.rng.choice(list(sim.workers.values()))
+    silent.silent = True
+    sim.run(sim.rng.uniform(0.5, 3.0))
+    silent.silent = False
+    sim.run(30.0)
+    assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals("completed"))
+    assert_that(sum(worker.number for worker in sim.workers.values()), Equals(9))
