Plan again at least four times a second while jobs wait

A step whose tickets ran out, or that found no free node for its advice call, waited for ever on a site without other events. Beside it: as many workers had left as had come, so that new ones were not asked about; a step limited per worker counted room on workers that hold its tasks.

Change: a pass at least each 0.25 s while jobs wait; unknown workers are looked up by id; room counts the tasks that are there.

Tests: test_advising.py, three that failed first.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -56,6 +56,9 @@
 # nearly every event calls for a pass, and one pass can answer several events.
 PLAN_PAUSE_PER_JOB_S = 0.002
 MAX_PLAN_PAUSE_S = 0.04
+# While jobs wait, a pass is made at least so often: tickets run out, avoided workers
+# become usable and nodes free for advice calls without any event.
+MAX_PLAN_INTERVAL_S = 0.25
 # A job that was not stored within this time is no longer expected.
 MAX_EXPECTED_S = 4.0
 # Runs on a draining worker are stopped ``stop_s`` plus this margin before it leaves:
@@ -103,6 +106,7 @@
         self.needs_plan = True
         # The next planning pass is not made before this time.
         self.plan_at = now
+        self.planned_at = now
         self.fenced_off = False
         self.rng = random.Random(token)
 
@@ -385,8 +389,12 @@
         drop_lost_workers(state, now)
         _stop_runs_on_leaving_workers(state, now)
         retry_stops(state, now)
+    waits = is_sweep and state.queue_index.queues
+    if waits and now - state.planned_at >= MAX_PLAN_INTERVAL_S:
+        state.needs_plan = True
     if state.needs_plan and now >= state.plan_at:
         state.needs_plan = False
+        state.planned_at = now
         examined = plan(state, now).jobs
         state.plan_at = now + min(MAX_PLAN_PAUSE_S, PLAN_PAUSE_PER_JOB_S * examined)
     for writer in state.writers.values():
--- a/cornelward/dispatch_plan.py
+++ b/cornelward/dispatch_plan.py
@@ -181,9 +181,7 @@
     if tickets.call_ids or not advising.has_free_node(state.advising, now):
         return
     askable = capacity.askable.get(queue.service, ())
-    unknown = []
-    if len(tickets.asked) < len(askable):
-        unknown = [i for i in askable if i not in tickets.asked]
+    unknown = [i for i in askable if i not in tickets.asked]
     expired = [
         i
         for i in tickets.approved
--- a/cornelward/planning.py
+++ b/cornelward/planning.py
@@ -440,6 +440,9 @@
     """
     step = candidate.job.spec.steps[candidate.key[1]]
     demand = demand_of(step)
+    placed = {}
+    if step.max_per_worker:
+        placed = _tasks_by_worker(candidate.job, candidate.key)
     with_room, others = [], []
     for worker_id in ids:
         worker = capacity.workers.get(worker_id)
@@ -447,8 +450,8 @@
         if step.label and worker and step.label not in worker.info.labels:
             count = 0
         if step.max_per_worker:
-            count = min(count, step.max_per_worker)
-        (with_room if count else others).append((count, worker_id))
+            count = min(count, step.max_per_worker - placed.get(worker_id, 0))
+        (with_room if count > 0 else others).append((max(0, count), worker_id))
     if step.gang:
         with_room.sort(key=lambda slot: -slot[0])
     else:
--- a/tests/test_advising.py
+++ b/tests/test_advising.py
@@ -1,14 +1,17 @@
 """Advice tickets: used only while valid, also when the store records starts slowly."""
 
+from types import SimpleNamespace
+
 import pytest
 from fixtures_dispatch import make_worker
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 
-from cornelward import advising, dispatch, dispatch_plan
+from cornelward import advising, dispatch, dispatch_plan, planning
 from cornelward.commits import PARTITIONS, Applied
 from cornelward.dispatch_effects import AskAdvice, Commit, Start
-from cornelward.staged_jobs import AdvicePolicy, JobSpec, Queue, StepSpec
+from cornelward.staged_jobs import AdvicePolicy, JobSpec, Queue, StepSpec, new_job
+from cornelward.workers import new_worker
 
 VALID_S = 2.5
 CFG = {
@@ -84,3 +87,42 @@
     dispatcher.commit_time_s = 5.0
     dispatcher.needs_plan = True
     assert_that(step_effects(dispatcher, VALID_S / 4, Commit), HasLength(1))
+
+
+def test_waiting_step_is_planned_again_without_any_event(dispatcher):
+    # On a site without other events (further, trouble-1, LOST) a job whose tickets ran
+    # out while no node was free waited for ever.
+    dispatcher.workers["w0"].avoid_until = 1.0
+    dispatcher.workers["w0"].changed = True
+    assert_that(step_effects(dispatcher, 0.1, Commit), Equals([]))
+    advising.set_nodes(dispatcher.advising, [])
+    assert_that(step_effects(dispatcher, 2 * VALID_S, Commit), Equals([]))
+    advising.set_nodes(dispatcher.advising, ["n0"])
+    later = 2 * VALID_S + dispatch.MAX_PLAN_INTERVAL_S
+    assert_that(step_effects(dispatcher, later, AskAdvice), HasLength(1))
+
+
+def test_workers_that_came_after_the_advice_are_asked_about(dispatcher):
+    # As many workers had left as had come, so that the number of those asked about was
+    # that of the workers there.
+    info = make_worker("w1")
+    dispatch.update_workers(dispatcher, 0.1, [info], complete=True)
+    dispatcher.workers["w1"].answered_at = 0.1
+    asked = step_effects(dispatcher, 0.1, AskAdvice)
+    assert_that([effect.workers for effect in asked], Equals([["w1"]]))
+
+
+def test_step_limited_per_worker_lacks_room_on_workers_that_have_its_tasks():
+    queue = Queue("q", "svc", 1, 4, 2.0, 1.0, AdvicePolicy(0.02, 0.001, VALID_S))
+    step = StepSpec(3, 1_000, 100, estimate_s=1.0, max_per_worker=1)
+    job = new_job(JobSpec("a" * 16, queue, "", (step,)), 1, 0.0)
+    *placed, waiting = job.tasks[0, 0]
+    for task, worker_id in zip(placed, ("w0", "w1"), strict=True):
+        task.run = SimpleNamespace(worker=worker_id)
+    workers = [new_worker(make_worker(f"w{i}"), 0.0) for i in range(3)]
+    capacity = planning.FreeCapacity(workers)
+    candidate = planning.Candidate(job, (0, 0), [waiting], {})
+    _, missing = planning.workers_to_ask(capacity, candidate, ["w0", "w1"], 1.0)
+    assert_that(missing, GreaterThan(0))
+    _, missing = planning.workers_to_ask(capacity, candidate, ["w1", "w2"], 1.0)
+    assert_that(missing, LessThan(1))
