Bound the connections to a worker

Workers take 64 connections. Since any node carries out starts and opened a connection for each task of a step on one worker, kept up to 64 idle ones, and those of instances without power stay open on the worker.

Change: at most two starts and stops at a time to one worker, the others wait, for a second at most; three idle connections a worker; those for relayed starts are closed after 1.5 s without use.

Tests: test_start_relay.py, test_http_client.py (failed first).

--- a/cornelward/http_client.py
+++ b/cornelward/http_client.py
@@ -76,6 +76,7 @@
         "body_bytes",
         "connected",
         "exchange",
+        "idle_since",
         "keep_alive",
         "parser",
         "reusable",
@@ -90,6 +91,7 @@
         self.reusable = True
         self.keep_alive = False
         self.exchange = None
+        self.idle_since = 0.0
         self.send_buffer = b""
         self.body_bytes = 0
         self.parser = httptools.HttpResponseParser(self)
@@ -185,6 +187,13 @@
         for conn in list(self._idle.pop(addr, ())):
             self._drop(conn)
 
+    def close_unused(self, unused_s):
+        """Close the connections that have been idle for at least ``unused_s``."""
+        before = self._loop.now() - unused_s
+        for idle in list(self._idle.values()):
+            for conn in [conn for conn in idle if conn.idle_since <= before]:
+                self._drop(conn)
+
     def _take_idle(self, addr):
         idle = self._idle.get(addr)
         return idle.pop() if idle else None
@@ -282,6 +291,7 @@
         can_reuse = conn.reusable and conn.keep_alive and not conn.send_buffer
         if can_reuse and len(idle) < self._max_idle:
             conn.parser = httptools.HttpResponseParser(conn)
+            conn.idle_since = self._loop.now()
             idle.append(conn)
         else:
             self._drop(conn)
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -175,6 +175,7 @@
     if node.leader is not None:
         node_leader.tick(node)
     node_jobs.tick(node)
+    node.deps.close_unused_connections()
     node.ticked_at = clock()
     _stop_when_drained(node)
 
--- a/cornelward/node_starts.py
+++ b/cornelward/node_starts.py
@@ -176,6 +176,6 @@
         results.append((order.worker, order.task, order.attempt, answer))
 
     for order in message.orders:
-        node.deps.worker_commands.start(
+        node.deps.relayed_commands.start(
             order, payload, message.token, lambda answer, o=order: done(o, answer)
         )
--- a/cornelward/platform/compose.py
+++ b/cornelward/platform/compose.py
@@ -26,6 +26,13 @@
 TIMED_OUTCOMES = ("applied", "rows", "page")
 
 
+# Connections kept to one worker: one for polls, the others for starts and stops.
+MAX_IDLE_PER_WORKER = 3
+# A worker takes a bounded number of connections, and any node may carry out starts on
+# it: connections for these are closed when they were not used for this long.
+RELAY_UNUSED_S = 1.5
+
+
 class NodeDependencies(NamedTuple):
     """Clients, servers, decoders and functions that a node uses."""
 
@@ -37,6 +44,10 @@
     peers: PeerTransport
     callers: HttpServer
     worker_commands: Any
+    # The same for start orders that this node carries out for the leader.
+    relayed_commands: Any
+    # Function that closes the connections of ``relayed_commands`` that are not in use.
+    close_unused_connections: Any
     ask_advice: Any
     find_target: Any
     decode_config: Any
@@ -71,6 +82,8 @@
     """
     loop = loop or Loop()
     client = HttpClient(loop)
+    worker_client = HttpClient(loop, max_idle=MAX_IDLE_PER_WORKER)
+    relay_client = HttpClient(loop, max_idle=MAX_IDLE_PER_WORKER)
     metrics = new_node_metrics()
     incarnation = time.time_ns() // 1_000_000
     holder = []
@@ -113,8 +126,12 @@
         peers=peers,
         callers=callers,
         worker_commands=connect_worker_commands(
-            client, shell.clock, metrics.observe_call
+            worker_client, shell.clock, metrics.observe_call
+        ),
+        relayed_commands=connect_worker_commands(
+            relay_client, shell.clock, metrics.observe_call
         ),
+        close_unused_connections=lambda: relay_client.close_unused(RELAY_UNUSED_S),
         ask_advice=connect_advice(client, settings.advice_address),
         find_target=find_target,
         decode_config=decode_config,
--- a/cornelward/platform/worker_commands.py
+++ b/cornelward/platform/worker_commands.py
@@ -1,10 +1,12 @@
 """Client of the workers (the platform's executors) and of the policy service."""
 
+import collections
 import math
 from typing import Any, NamedTuple
 
 import msgspec
 
+from ..http_client import HttpResult
 from ..workers import WorkerInfo
 
 __all__ = [
@@ -18,6 +20,10 @@
 # An executor responds without delay; a command without a response within this time
 # counts as lost.
 COMMAND_TIMEOUT_S = 0.6
+# Starts and stops sent to one worker at the same time.
+MAX_PARALLEL_COMMANDS = 2
+# A command that waited longer for its turn is not sent.
+MAX_QUEUED_S = 1.0
 # The policy service handles one call of an instance at a time.
 ADVICE_TIMEOUT_S = 3.0
 
@@ -56,6 +62,56 @@
     poll: Any
 
 
+class _CommandQueue:
+    """Commands to one worker: the number of those sent, and those that wait."""
+
+    __slots__ = ("sent", "waiting")
+
+    def __init__(self):
+        self.sent = 0
+        self.waiting = collections.deque()
+
+
+def _limit_parallel(call, now):
+    """Return ``call`` with at most MAX_PARALLEL_COMMANDS at a time to one address.
+
+    A worker closes connections beyond its limit, and those of instances that lost power
+    stay open for a while: a step with many tasks on it must not open one for each. A
+    command that waited too long is not sent, as its sender may lead no more.
+    """
+    queues = {}
+
+    def send(queue, operation, address, *args):
+        *rest, on_done = args
+
+        def done(result):
+            queue.sent -= 1
+            send_next(queue, address)
+            on_done(result)
+
+        queue.sent += 1
+        call(operation, address, *rest, done)
+
+    def send_next(queue, address):
+        while queue.waiting:
+            queued_at, args = queue.waiting.popleft()
+            if now() - queued_at <= MAX_QUEUED_S:
+                send(queue, *args)
+                return
+            args[-1](HttpResult(None, {}, b"", "too_late", False))
+        if not queue.sent:
+            queues.pop(address, None)
+
+    def limited(operation, address, *args):
+        queue = queues.setdefault(address, _CommandQueue())
+        if queue.sent < MAX_PARALLEL_COMMANDS:
+            send(queue, operation, address, *args)
+        else:
+            queue.waiting.append((now(), (operation, address, *args)))
+
+    return limited
+
+
 def connect_worker_commands(client, now, observe):
     """Return the WorkerCommands.
 
@@ -84,7 +140,8 @@
             timeout_s=timeout_s,
         )
 
-    return WorkerCommands(_make_start(call), _make_stop(call), _make_poll(call))
+    limited = _limit_parallel(call, now)
+    return WorkerCommands(_make_start(limited), _make_stop(limited), _make_poll(call))
 
 
 def _rejection_reason(result):
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -216,3 +216,23 @@
     raw_upstream.receive(sock)
     sock.send(answer)
     assert_that(raw_upstream.until(answers).verdict, Is(Verdict.MAY_HAVE_RUN))
+
+
+def test_connections_that_are_not_in_use_can_be_closed(raw_upstream):
+    answers = raw_upstream.run()
+    sock = raw_upstream.accept()
+    raw_upstream.receive(sock)
+    sock.send(OK)
+    raw_upstream.until(answers)
+    raw_upstream.client.close_unused(WAIT_LIMIT_S)
+    received = []
+
+    def is_closed():
+        with contextlib.suppress(BlockingIOError):
+            received.append(sock.recv(1))
+        return received == [b""]
+
+    raw_upstream.loop.tick(0.01)
+    assert_that(is_closed(), Equals(False))
+    raw_upstream.client.close_unused(0.0)
+    assert raw_upstream.loop.run_until(is_closed, WAIT_LIMIT_S)
--- a/tests/test_start_relay.py
+++ b/tests/test_start_relay.py
@@ -12,6 +12,10 @@
 from cornelward.messages import StartOrder, StartOrders, StartResults, encode
 from cornelward.node_jobs import PeerState
 from cornelward.node_leader import LeaderTerm
+from cornelward.platform.worker_commands import (
+    MAX_PARALLEL_COMMANDS,
+    connect_worker_commands,
+)
 from cornelward.start_relay import Payloads, is_worth_relaying
 
 JOB = "a" * 16
@@ -39,6 +43,7 @@
         now=lambda: node.now,
         schedule_step=lambda node: None,
         worker_commands=SimpleNamespace(start=start),
+        relayed_commands=SimpleNamespace(start=start),
     )
     node.peer_state = PeerState()
     node.peer_state.peers = [ENTRY]
@@ -182,3 +187,42 @@
     assert_that(payloads.get("0"), Equals(None))
     assert_that(payloads.get("9"), Equals("x" * 300))
     assert_that(is_worth_relaying(1, 100_000), Equals(False))
+
+
+def test_starts_on_one_worker_share_few_connections():
+    # Each node opened a connection for each task; a worker takes 64, and those of nodes
+    # that lost power stay open, so that it closed all new ones (further, LOST).
+    calls = []
+    client = SimpleNamespace(
+        request_json=lambda address, method, path, finish, **rest: calls.append(finish)
+    )
+    commands = connect_worker_commands(client, lambda: 0.0, lambda *args: None)
+    answers = []
+    for i in range(6):
+        order = StartOrder("w0", "addr", f"{JOB}.0.0.{i}", 1, 100.0, "", "")
+        commands.start(order, "text", 7, answers.append)
+    other = StartOrder("w1", "other", f"{JOB}.0.0.9", 1, 100.0, "", "")
+    commands.start(other, "text", 7, answers.append)
+    assert_that(calls, HasLength(MAX_PARALLEL_COMMANDS + 1))
+    result = SimpleNamespace(status=200, error=None, sent=True)
+    while calls:
+        calls.pop(0)(result)
+        assert_that(len(calls), LessThan(MAX_PARALLEL_COMMANDS + 2))
+    assert_that(answers, Equals(["ok"] * 7))
+
+
+def test_command_that_waited_too_long_is_not_sent():
+    # The process may have been paused, or may lead no more.
+    calls, clock = [], [0.0]
+    client = SimpleNamespace(
+        request_json=lambda address, method, path, finish, **rest: calls.append(finish)
+    )
+    commands = connect_worker_commands(client, lambda: clock[0], lambda *args: None)
+    answers = []
+    for i in range(MAX_PARALLEL_COMMANDS + 1):
+        order = StartOrder("w0", "addr", f"{JOB}.0.0.{i}", 1, 100.0, "", "")
+        commands.start(order, "text", 7, answers.append)
+    clock[0] = 5.0
+    calls.pop(0)(SimpleNamespace(status=200, error=None, sent=True))
+    assert_that(calls, HasLength(MAX_PARALLEL_COMMANDS - 1))
+    assert_that(sorted(answers), Equals(["ok", "unsent"]))
