Do not hand refused start orders to the same node again

Cause, found by reading: orders that the accepting node did not send (payload not kept, paused) went through the same decision again and back to that node, without end. Starts held back during a pause were sent even if their runs had been stopped meanwhile; the workers refused them.

Change: a job whose orders were not sent is started by the leader from then on; stopped runs are left out.

Tests: test_start_relay.py, two that failed first.

--- a/cornelward/node_starts.py
+++ b/cornelward/node_starts.py
@@ -52,7 +52,8 @@
     if sent_at is not None and sent_at >= term.unconfirmed_since:
         term.unconfirmed_since = None
         held, term.held_starts = term.held_starts, []
-        execute_starts(node, term, held)
+        # Runs that were stopped meanwhile need no start.
+        execute_starts(node, term, [e for e in held if e.run.state == SENT])
 
 
 def execute_starts(node, term, effects):
@@ -138,6 +139,8 @@
         if effect is None or term.closed:
             continue
         if answer == "unsent" and effect.run.state == SENT:
+            # That node does not keep the payload, or cannot tell who leads.
+            effect.run.job.entry = None
             execute_starts(node, term, [effect])
         else:
             _report(node, term, effect.run, answer)
--- a/tests/test_start_relay.py
+++ b/tests/test_start_relay.py
@@ -17,6 +17,7 @@
     connect_worker_commands,
 )
 from cornelward.start_relay import Payloads, is_worth_relaying
+from cornelward.workers import STOPPING
 
 JOB = "a" * 16
 ENTRY = "10.0.0.5:1"
@@ -106,10 +107,10 @@
     node_starts.execute_starts(node, term, starts)
     orders = node.messages[0][1].orders
     results = [(o.worker, o.task, o.attempt, "unsent") for o in orders]
-    # The entry does not keep the payload: its results must not be relayed again.
-    node.peer_state.peers = []
+    # They must not be handed to the same node again, time after time.
     node_starts.on_start_results(node, term, StartResults(7, results))
     assert_that(node.orders, HasLength(20))
+    assert_that(node.messages, HasLength(1))
     node_starts.on_start_results(node, term, StartResults(7, results))
     assert_that(node.orders, HasLength(20))
 
@@ -171,6 +172,17 @@
     assert_that(node.messages, HasLength(1))
 
 
+def test_starts_that_were_stopped_during_the_pause_are_dropped(node):
+    term, starts = started_job(node)
+    term.unconfirmed_since = node.now
+    node_starts.execute_starts(node, term, starts)
+    for effect in starts:
+        effect.run.state = STOPPING
+    node.leadership.last_request_at = node.now + 0.01
+    node_starts.confirm_term(node, term)
+    assert_that((node.orders, node.messages), Equals(([], [])))
+
+
 def test_leader_that_is_only_slow_goes_on(node):
     term, starts = started_job(node)
     for _ in range(5):
