Split the planner's capacity, the table of workers and the heartbeats into modules

Change: capacity_index.py, dispatch_workers.py and node_heartbeats.py; code moved, names and log events as before (private functions used across modules lost their underscore).

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -7,18 +7,18 @@
 
 import random
 
-from . import advising, commits, objectives, planning, queue_index
+from . import advising, capacity_index, commits, objectives, queue_index
 from . import staged_jobs as jobs
 from . import workers as worker_table
 from .dispatch_effects import Reply, Start
 from .dispatch_plan import ask_about_next_steps, ask_early, plan
 from .dispatch_polls import drop_lost_workers, send_polls
-from .dispatch_runs import (
-    discard_run,
-    mark_dirty,
-    request_stop,
-    reset_restarted_worker,
-    retry_stops,
+from .dispatch_runs import discard_run, mark_dirty, request_stop, retry_stops
+from .dispatch_workers import (
+    deregister_worker,
+    stop_runs_on_leaving_workers,
+    unregistered_worker,
+    update_workers,
 )
 from .log import get_logger
 from .staged_jobs import (
@@ -34,6 +34,7 @@
     "Dispatcher",
     "add_accepted_job",
     "cancel",
+    "deregister_worker",
     "expect_job",
     "on_advice_result",
     "on_commit_result",
@@ -61,9 +62,6 @@
 MAX_PLAN_INTERVAL_S = 0.25
 # A job that was not stored within this time is no longer expected.
 MAX_EXPECTED_S = 4.0
-# Runs on a draining worker are stopped ``stop_s`` plus this margin before it leaves:
-# the stop request has to reach the worker, and the leader has to learn of the end.
-DRAIN_STOP_MARGIN_S = 0.4
 
 
 class Dispatcher:
@@ -94,7 +92,7 @@
         self.early_advice = []
         self.queue_index = queue_index.QueueIndex()
         self.run_times = objectives.RunTimes()
-        self.capacity = planning.FreeCapacity(())
+        self.capacity = capacity_index.FreeCapacity(())
         # Jobs that run at scheduled times: id -> Job.
         self.recurring_jobs = {}
         # Ids of workers that may have to be polled before the next sweep.
@@ -160,7 +158,7 @@
         worker = state.workers.get(worker_id)
         if worker is None:
             # The worker is no longer registered, but its lease may still hold.
-            info = _unregistered_worker(worker_id, spec.queue.service)
+            info = unregistered_worker(worker_id, spec.queue.service)
             worker = worker_table.new_worker(info, now, state.unknown_lease_s)
             worker.registered = False
             state.workers[worker_id] = worker
@@ -175,81 +173,12 @@
         mark_dirty(state, job)
 
 
-def _unregistered_worker(worker_id, service):
-    return worker_table.WorkerInfo(
-        worker_id, service, "", "", "", (), 0, 0, 0, True, 0.0, 0, 0.0
-    )
-
-
 def set_queues(state, queues):
     """Replace the queue configuration: name -> Queue."""
     state.queues = queues
     state.needs_plan = True
 
 
-def update_workers(state, now, infos, complete):
-    """Update the workers from registry entries.
-
-    If ``complete`` is true, workers that are not in ``infos`` are no longer registered.
-    """
-    for info in infos:
-        worker = state.workers.get(info.id)
-        if worker is None:
-            worker = worker_table.new_worker(info, now, state.unknown_lease_s)
-            state.workers[info.id] = worker
-            state.needs_plan = True
-            _update_draining(worker, now, info)
-            log("info", "worker_seen", worker=info.id, address=info.address)
-            continue
-        _update_draining(worker, now, info)
-        if not worker.info.address:
-            worker_table.update_clock(worker, now, info.clock_s)
-        elif worker.info.born != info.born:
-            reset_restarted_worker(worker, now, info.born)
-        worker.changed = worker.changed or _affects_placement(worker, info)
-        worker.info, worker.registered = info, True
-        state.needs_plan = state.needs_plan or worker.changed
-    if complete:
-        present = {info.id for info in infos}
-        for worker_id in set(state.workers) - present:
-            deregister_worker(state, worker_id)
-
-
-def _affects_placement(worker, info):
-    """Return whether a registry entry differs in more than the worker's clock."""
-    ignored = {"clock_s": 0.0, "leaves_in_s": 0.0}
-    known = worker.info._replace(**ignored)
-    return not worker.registered or known != info._replace(**ignored)
-
-
-def _update_draining(worker, now, info):
-    if info.draining and worker.leaves_at is None:
-        log("info", "worker_draining", worker=info.id, leaves_in_s=info.leaves_in_s)
-        worker.leaves_at = now + info.leaves_in_s
-    elif not info.draining:
-        worker.leaves_at = None
-
-
-def _stop_runs_on_leaving_workers(state, now):
-    """Stop the runs on workers that are about to leave, which saves their progress."""
-    ahead_s = state.cfg["stop_s"] + DRAIN_STOP_MARGIN_S
-    for worker in state.workers.values():
-        if worker.leaves_at is None or now < worker.leaves_at - ahead_s:
-            continue
-        for run in worker.runs.values():
-            if run.state in (worker_table.ACTIVE, worker_table.SENT):
-                request_stop(state, now, run)
-
-
-def deregister_worker(state, worker_id):
-    """Mark a worker as no longer registered."""
-    worker = state.workers.get(worker_id)
-    if worker is not None and worker.registered:
-        worker.registered = False
-        worker.changed = True
-        log("info", "worker_unlisted", worker=worker_id, runs=len(worker.runs))
-
-
 def state_of(state, job_id):
     """Return the job's recorded state, or None if the job is unknown."""
     job = state.jobs.get(job_id)
@@ -387,7 +316,7 @@
         _forget_expected_jobs(state, now)
         ask_about_next_steps(state, now)
         drop_lost_workers(state, now)
-        _stop_runs_on_leaving_workers(state, now)
+        stop_runs_on_leaving_workers(state, now)
         retry_stops(state, now)
     waits = is_sweep and state.queue_index.queues
     if waits and now - state.planned_at >= MAX_PLAN_INTERVAL_S:
--- a/cornelward/dispatch_plan.py
+++ b/cornelward/dispatch_plan.py
@@ -6,7 +6,7 @@
 import heapq
 from typing import NamedTuple
 
-from . import advising, objectives, planning, queue_index
+from . import advising, capacity_index, objectives, planning, queue_index
 from . import staged_jobs as jobs
 from . import workers as worker_table
 from .dispatch_runs import mark_dirty
@@ -38,7 +38,7 @@
     """State of one planning pass."""
 
     now: float
-    capacity: planning.FreeCapacity
+    capacity: capacity_index.FreeCapacity
 
 
 def plan(state, now):
@@ -48,7 +48,7 @@
     pass once MAX_UNPLACED_JOBS of its jobs were examined without a placement.
     """
     queue_index.refresh(state.queue_index)
-    planning.refresh(state.capacity, state.workers, now)
+    capacity_index.refresh(state.capacity, state.workers, now)
     this_pass = PlanningPass(now, state.capacity)
     unplaced_jobs, closed = {}, set()
     rank = 0
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -5,7 +5,14 @@
 
 import time
 
-from . import inserts, leadership, node_jobs, node_leader, node_takeover
+from . import (
+    inserts,
+    leadership,
+    node_heartbeats,
+    node_jobs,
+    node_leader,
+    node_takeover,
+)
 from .commits import Applied, Refused, Rows, Unknown
 from .dispatch_effects import RowWrite
 from .errors import SettingsError
@@ -249,7 +256,7 @@
         if not still_leads:
             lose_leadership(node, "another node holds the leader row")
         elif outcome == "ok" and node.leader is not None:
-            node_leader.on_row_renewed(node)
+            node_heartbeats.on_row_renewed(node)
 
     _write_leader(node, effect, done)
 
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -2,11 +2,11 @@
 
 import time
 
-from . import advising, dispatch, dispatch_runs, heartbeats, leadership, node_starts
+from . import dispatch, dispatch_runs, heartbeats, node_heartbeats, node_starts
 from .commits import Applied, Rows
 from .dispatch_effects import Start
 from .log import get_logger
-from .messages import AdviceRequest, LeaderBeat, LeaderResigned
+from .messages import AdviceRequest, LeaderResigned
 from .staged_jobs import decode_spec
 
 __all__ = [
@@ -14,19 +14,12 @@
     "cancel",
     "close",
     "on_job_accepted",
-    "on_row_renewed",
     "schedule_step",
-    "send_heartbeats",
     "state_of",
 ]
 
 log = get_logger("node_leader")
 
-# A node that sent no hello for this long gets no heartbeats and makes no advice calls.
-# Nodes send one each 0.8 s, or with each heartbeat where those are rarer.
-NODE_TIMEOUT_S = 2.0
-# A node is also kept for this many intervals of its heartbeats.
-KEPT_INTERVALS = 2.5
 # Pause before a poll that was not sent is reported as failed.
 RETRY_S = 0.2
 # A leader that cannot reach the store keeps extending its workers' leases this long.
@@ -166,13 +159,7 @@
         term.leaving.discard(name)
     if hello.weak:
         term.weak.add(name)
-    _update_advice_nodes(term)
-
-
-def _update_advice_nodes(term):
-    if term.dispatcher is not None:
-        names = [name for name in term.nodes if name not in term.leaving]
-        advising.set_nodes(term.dispatcher.advising, names)
+    node_heartbeats.update_advice_nodes(term)
 
 
 # Effects of the dispatcher
@@ -249,80 +236,10 @@
     # it learns that this one is refused.
     changed = store_refusing != term.store_refusing
     term.store_refusing = store_refusing
-    send_heartbeats(node, term, now, urgent=changed)
+    node_heartbeats.send_heartbeats(node, term, now, urgent=changed)
     run_step(node, term)
 
 
-def on_row_renewed(node):
-    """Report the row's new version to the standbys at once.
-
-    A follower that knows it can claim an unrenewed row at its first read of it.
-    """
-    term = node.leader
-    if term.dispatcher is not None and not term.closed:
-        node_starts.confirm_term(node, term)
-        term.beats.standbys_at = None
-        send_heartbeats(node, term, node.deps.now())
-
-
-def send_heartbeats(node, term, now, urgent=False):
-    """Send the heartbeats that are due, and forget nodes that timed out."""
-    peers = _known_peers(node, term, now)
-    due = heartbeats.groups_due(term.beats, now, node.address, peers, urgent)
-    if not due:
-        return
-    _forget_silent_nodes(node, term, now, len(peers))
-    _update_advice_nodes(term)
-    pending = dispatch.pending_by_queue(term.dispatcher)
-    node.deps.set_pending_counts(node, pending)
-    node.peer_state.peers = [peer.address for peer in peers]
-    store_age_s = now - node.leadership.renewed_at
-    if term.store_refusing:
-        store_age_s = max(store_age_s, leadership.STORE_STALE_S)
-    version = node.leadership.version
-    has_strong_node = any(not (peer.weak or peer.leaving) for peer in peers)
-    for group in due:
-        message = LeaderBeat(
-            node.address,
-            term.token,
-            store_age_s,
-            pending,
-            group.nodes,
-            version,
-            group.interval_s,
-            has_strong_node,
-        )
-        others = [a for a in group.addresses if a != term.successor]
-        node.peers.send_all(others, message)
-        if len(others) < len(group.addresses):
-            # A stale store age lets the successor claim the row, and claim again if a
-            # claim fails.
-            stale = message._replace(store_age_s=leadership.STORE_STALE_S)
-            node.peers.send(term.successor, stale)
-
-
-def _known_peers(node, term, now):
-    """Return the Peers that get heartbeats; a new term adds the inherited ones."""
-    found = {
-        address: heartbeats.Peer(address, name in term.weak, name in term.leaving)
-        for name, (address, _) in term.nodes.items()
-    }
-    if now - term.started_at < NODE_TIMEOUT_S:
-        for address in term.inherited_peers:
-            found.setdefault(address, heartbeats.Peer(address))
-    found.pop(node.address, None)
-    return list(found.values())
-
-
-def _forget_silent_nodes(node, term, now, count):
-    interval_s = heartbeats.follower_interval_s(count)
-    limit_s = max(NODE_TIMEOUT_S, KEPT_INTERVALS * interval_s)
-    for name, (address, last_hello_at) in list(term.nodes.items()):
-        if last_hello_at is not None and now - last_hello_at > limit_s:
-            del term.nodes[name]
-            node.peers.disconnect(address)
-
-
 def _commit(node, term, effect):
     def done(result):
         if term.closed:
--- a/cornelward/node_takeover.py
+++ b/cornelward/node_takeover.py
@@ -6,7 +6,7 @@
 
 import functools
 
-from . import dispatch, node_leader
+from . import dispatch, node_heartbeats, node_leader
 from .commits import PARTITIONS, Applied, Refused, Unknown
 from .dispatch_effects import RowWrite
 from .log import get_logger
@@ -174,7 +174,7 @@
     )
     _follow_registry(node, term, registry.version)
     _follow_jobs(node, term, min(r["jobs"].version for r in rows.values()))
-    node_leader.send_heartbeats(node, term, now, urgent=True)
+    node_heartbeats.send_heartbeats(node, term, now, urgent=True)
     node_leader.schedule_step(node)
 
 
--- a/cornelward/planning.py
+++ b/cornelward/planning.py
@@ -9,9 +9,9 @@
 from typing import NamedTuple
 
 import xxhash
-from sortedcontainers import SortedList
 
-from .workers import demand_of, free_capacity, is_on_probation, is_usable
+from .capacity_index import FreeCapacity, is_slow, sort_key
+from .workers import demand_of, is_on_probation
 
 __all__ = [
     "Candidate",
@@ -20,15 +20,11 @@
     "fit_gang",
     "fit_tasks",
     "fits_nowhere",
-    "refresh",
     "reserve_for_gang",
     "workers_to_ask",
 ]
 
 
-# A worker is slow if its slowness is more than this multiple of the median; slow
-# workers are used last.
-SLOW_FACTOR = 2.0
 # Tasks with an estimate up to this go to the fastest worker, as their latency
 # objectives leave little slack.
 SHORT_TASK_S = 1.0
@@ -69,135 +65,6 @@
     ticket: str
 
 
-class FreeCapacity:
-    """Free capacity of the usable workers, kept from one planning pass to the next.
-
-    ``refresh`` updates it from the workers that have changed. ``jobs`` and ``examined``
-    count the jobs and workers that a pass examined; they measure its cost.
-    """
-
-    __slots__ = (
-        "askable",
-        "examined",
-        "free",
-        "jobs",
-        "keys",
-        "reserved_workers",
-        "reserving_gangs",
-        "typical_slowness",
-        "unplaceable_demands",
-        "workers",
-        "workers_by_free_cpu",
-    )
-
-    def __init__(self, workers):
-        self.workers = {}
-        self.free = {}
-        # Worker id -> its key in ``workers_by_free_cpu``.
-        self.keys = {}
-        self.typical_slowness = 1.0
-        # Service -> sort keys of its workers (see ``sort_key``), ascending.
-        self.workers_by_free_cpu = {}
-        # Service -> ids of the workers that the policy service may be asked about, in
-        # the order in which they became known.
-        self.askable = {}
-        _begin_pass(self)
-        self.typical_slowness = _median_slowness(workers)
-        for worker in workers:
-            _add_worker(self, worker)
-            _update_askable(self, worker)
-
-
-def _begin_pass(capacity):
-    # Ids of the workers reserved for waiting gangs, and the number of these gangs.
-    capacity.reserved_workers = set()
-    capacity.reserving_gangs = 0
-    capacity.jobs = capacity.examined = 0
-    # (service, label, urgent) -> demands that fit on no worker. They stay valid for the
-    # whole pass, as free capacity only shrinks.
-    capacity.unplaceable_demands = {}
-
-
-def _median_slowness(workers):
-    values = sorted(worker.slowness for worker in workers)
-    return values[len(values) // 2] if values else 1.0
-
-
-def refresh(capacity, workers, now):
-    """Begin a pass: update the entries of the workers that have changed.
-
-    ``workers`` maps the ids of all known workers to them.
-    """
-    _begin_pass(capacity)
-    changed = [worker for worker in workers.values() if worker.changed]
-    for worker_id in capacity.keys.keys() - workers.keys():
-        _remove_worker(capacity, worker_id)
-    for ids in capacity.askable.values():
-        for worker_id in ids.keys() - workers.keys():
-            del ids[worker_id]
-    if not changed:
-        return
-    usable = []
-    for worker in changed:
-        _remove_worker(capacity, worker.info.id)
-        _update_askable(capacity, worker)
-        # A worker that is avoided for a while becomes usable by itself.
-        worker.changed = now < worker.avoid_until
-        if is_usable(worker, now):
-            usable.append(worker)
-    median = _median_slowness([*capacity.workers.values(), *usable])
-    if abs(median - capacity.typical_slowness) > 0.1 * capacity.typical_slowness:
-        capacity.typical_slowness = median
-        for worker in list(capacity.workers.values()):
-            _remove_worker(capacity, worker.info.id)
-            usable.append(worker)
-    for worker in usable:
-        _add_worker(capacity, worker)
-
-
-def _add_worker(capacity, worker):
-    worker_id = worker.info.id
-    capacity.workers[worker_id] = worker
-    capacity.free[worker_id] = list(free_capacity(worker))
-    order = capacity.workers_by_free_cpu.setdefault(worker.info.service, SortedList())
-    key = capacity.keys[worker_id] = sort_key(capacity, worker)
-    order.add(key)
-
-
-def _remove_worker(capacity, worker_id):
-    worker = capacity.workers.pop(worker_id, None)
-    if worker is None:
-        return
-    del capacity.free[worker_id]
-    key = capacity.keys.pop(worker_id)
-    for order in capacity.workers_by_free_cpu.values():
-        order.discard(key)
-
-
-def _update_askable(capacity, worker):
-    info = worker.info
-    ids = capacity.askable.setdefault(info.service, {})
-    if worker.registered and not info.draining:
-        ids[info.id] = None
-    else:
-        ids.pop(info.id, None)
-
-
-def is_slow(capacity, worker):
-    """Return whether the worker is much slower than the median worker."""
-    return worker.slowness > SLOW_FACTOR * capacity.typical_slowness
-
-
-def sort_key(capacity, worker):
-    """Return the worker's key in ``FreeCapacity.workers_by_free_cpu``.
-
-    The key is (suspect, free processors, id). A worker is suspect if a run has failed
-    on it since the last success, or if it is slow.
-    """
-    suspect = worker.failures > 0 or is_slow(capacity, worker)
-    return suspect, capacity.free[worker.info.id][0], worker.info.id
-
-
 def iter_workers_with_cpu(capacity, service, cpu):
     """Yield workers with at least ``cpu`` free processors.
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,7 +12,7 @@
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength
 
 from cornelward import node as shell
-from cornelward import node_leader, node_messages
+from cornelward import node_heartbeats, node_leader, node_messages
 from cornelward.errors import SettingsError
 from cornelward.messages import Envelope, LeaderBeat, LeaderHello
 
@@ -144,7 +144,7 @@
         disconnect=lambda address: None,
     )
     term.started_at, term.inherited_peers = now, ("10.0.0.9:1",)
-    node_leader.send_heartbeats(leader, term, now, urgent=True)
+    node_heartbeats.send_heartbeats(leader, term, now, urgent=True)
     assert_that(sent, Contains("10.0.0.9:1"))
     node_leader.on_hello(leader, "n9", LeaderHello("10.0.0.9:1"))
     assert_that(term.dispatcher.advising.nodes, Contains("n9"))
