Let the time after which a node is isolated follow the heartbeats

Cause, found by reading: a node counts as isolated after 1.2 s without a message. Followers of a large site now get heartbeats each 0.8 to 1.5 s, so that one lost message in an outage of the store isolated a node, which then refused without Retry-After and closed the connection.

Change: at least the time-out of the heartbeats and 0.3 s. Test: test_node_jobs.py (failed for 0.8 and 1.5 s).

--- a/cornelward/node_inserts.py
+++ b/cornelward/node_inserts.py
@@ -21,11 +21,12 @@
 # Time limit of an insert through a peer that is not the leader.
 PEER_TIMEOUT_S = 1.0
 # A leader that reached the store within this time is asked first. It renews its row
-# every 0.4 s and reports that in heartbeats every 0.3 s.
+# every 0.4 s and reports that in its heartbeats.
 LEADER_STORE_FRESH_S = 0.8
-# Other nodes send messages every 0.3 s; a node that receives none for this long cannot
-# reach them.
+# A node that receives no message from others for this long cannot reach them. Where the
+# leader's heartbeats are rarer, it is their time-out and this margin.
 ISOLATED_AFTER_S = 1.2
+ISOLATED_MARGIN_S = 0.3
 
 
 class Submission(NamedTuple):
@@ -46,7 +47,8 @@
 
 def is_isolated(node, now):
     """Return whether this node reaches neither the store nor another node."""
-    silent = now - node.last_message_at >= ISOLATED_AFTER_S
+    timeout_s = node.leadership.heartbeat_timeout_s + ISOLATED_MARGIN_S
+    silent = now - node.last_message_at >= max(ISOLATED_AFTER_S, timeout_s)
     return silent and node.health.is_unavailable(now)
 
 
--- a/tests/test_node_jobs.py
+++ b/tests/test_node_jobs.py
@@ -7,8 +7,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from cornelward import node_jobs
-from cornelward.leadership import HEARTBEAT_TIMEOUT_S, Leadership
+from cornelward import node_inserts, node_jobs
+from cornelward.leadership import HEARTBEAT_TIMEOUT_S, Leadership, on_heartbeat
 from cornelward.node_inserts import LEADER_STORE_FRESH_S
 from cornelward.store_health import StoreHealth
 
@@ -110,3 +110,15 @@
     node.health.record_outcome(9.5, "unknown")
     node_jobs.tick(node)
     assert_that(replies, Equals([]))
+
+
+@pytest.mark.parametrize("interval_s", [0.4, 0.8, 1.5])
+def test_one_lost_heartbeat_does_not_isolate_a_node(node, interval_s):
+    # In an outage of the store a node that takes itself for isolated sends no
+    # Retry-After. On large sites heartbeats are rarer than on small ones.
+    node.last_message_at = 10.0
+    on_heartbeat(node.leadership, 10.0, LEADER, 0.0, 3, interval_s=interval_s)
+    for at in (9.0, 9.5, 10.0):
+        node.health.record_outcome(at, "refused")
+    assert_that(node_inserts.is_isolated(node, 10.0 + 2 * interval_s), Equals(False))
+    assert_that(node_inserts.is_isolated(node, 10.0 + 4 * interval_s), Equals(True))
