Carry out start orders only with the stored payload

Cause, found by reading: a node keeps the payload of the last submission of an id. If a caller reuses an id with another payload, the leader's orders for the stored job would have been carried out with the wrong one.

Change: orders carry a digest of the stored payload; a node whose payload differs sends none, and the leader starts the tasks itself. Test: test_start_relay.py (another payload; failed first).

--- a/cornelward/messages.py
+++ b/cornelward/messages.py
@@ -280,12 +280,14 @@
     """Asks the node that accepted a job to start some of its tasks.
 
     ``token`` is the leader's fencing token; the results go to ``address``.
+    ``payload_digest`` is that of the stored job's payload.
     """
 
     address: str
     token: int
     job_id: str
     orders: list[StartOrder]
+    payload_digest: int
 
 
 class StartResults(NamedTuple):
--- a/cornelward/node_starts.py
+++ b/cornelward/node_starts.py
@@ -7,7 +7,7 @@
 from . import dispatch_runs
 from .log import get_logger
 from .messages import StartOrder, StartOrders, StartResults
-from .start_relay import is_worth_relaying
+from .start_relay import digest_of, is_worth_relaying
 from .workers import SENT
 
 __all__ = [
@@ -112,10 +112,10 @@
 def _relay(node, term, address, batch):
     orders = [_order_of(effect) for effect in batch]
     keys = [(o.worker, o.task, o.attempt) for o in orders]
-    job_id = batch[0].run.job.spec.id
-    if not node.peers.send(
-        address, StartOrders(node.address, term.token, job_id, orders)
-    ):
+    spec = batch[0].run.job.spec
+    digest = digest_of(spec.payload)
+    message = StartOrders(node.address, term.token, spec.id, orders, digest)
+    if not node.peers.send(address, message):
         for effect in batch:
             _start(node, term, effect)
         return
@@ -152,6 +152,9 @@
 def on_start_orders(node, message):
     """Carry out the leader's start orders, unless they may be outdated."""
     payload = node.peer_state.payloads.get(message.job_id)
+    if payload is not None and digest_of(payload) != message.payload_digest:
+        # A later submission of the same id had another payload.
+        payload = None
     known_token = node.leadership.heartbeat_token or 0
     paused = node.deps.now() - node.ticked_at > PAUSED_AFTER_S
     if payload is None or paused or message.token < known_token:
--- a/cornelward/start_relay.py
+++ b/cornelward/start_relay.py
@@ -7,7 +7,9 @@
 
 import collections
 
-__all__ = ["Payloads", "is_worth_relaying"]
+import xxhash
+
+__all__ = ["Payloads", "digest_of", "is_worth_relaying"]
 
 # A start through another node takes one hop more; it pays from this many bytes of
 # payload that the leader need not send.
@@ -21,6 +23,11 @@
     return tasks > 1 and tasks * payload_bytes >= RELAYED_BYTES
 
 
+def digest_of(payload):
+    """Return the digest by which a node knows that its payload is the stored one."""
+    return xxhash.xxh64_intdigest(payload.encode())
+
+
 class Payloads:
     """The payloads of the jobs that this node accepted last, by job id."""
 
--- a/tests/test_start_relay.py
+++ b/tests/test_start_relay.py
@@ -16,7 +16,7 @@
     MAX_PARALLEL_COMMANDS,
     connect_worker_commands,
 )
-from cornelward.start_relay import Payloads, is_worth_relaying
+from cornelward.start_relay import Payloads, digest_of, is_worth_relaying
 from cornelward.workers import STOPPING
 
 JOB = "a" * 16
@@ -128,7 +128,7 @@
 
 def orders_message(token=7):
     order = StartOrder("w0", "addr", f"{JOB}.0.0.0", 1, 100.0, "t", "")
-    return StartOrders(ENTRY, token, JOB, [order])
+    return StartOrders(ENTRY, token, JOB, [order], digest_of("text"))
 
 
 def test_entry_carries_orders_out_and_reports_their_results(node):
@@ -142,10 +142,15 @@
     assert_that(message.results, Equals([("w0", f"{JOB}.0.0.0", 1, "ok")]))
 
 
-@pytest.mark.parametrize("reason", ["no payload", "paused", "former leader"])
+@pytest.mark.parametrize(
+    "reason", ["no payload", "another payload", "paused", "former leader"]
+)
 def test_entry_refuses_orders_that_may_be_outdated(node, reason):
     if reason != "no payload":
         node.peer_state.payloads.add(JOB, "text")
+    if reason == "another payload":
+        # The id was submitted again with a payload that was not stored.
+        node.peer_state.payloads.add(JOB, "other text")
     if reason == "paused":
         node.ticked_at = node.now - node_starts.PAUSED_AFTER_S - 0.1
     if reason == "former leader":
