Send no start of a run that was discarded while it was being recorded

What callers would see: a task runs twice at once (TWICE), or again after its end was acknowledged.

Whether this is what the operators saw is not shown: it takes a store that does not answer for longer than a lease beside workers that cannot be reached.

Change: a discarded run is void, and neither the record's effect nor a held start of it is carried out. The start's own run is looked at, so that later runs of the task are not affected.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -260,6 +260,10 @@
 
 
 def _send_start(state, now, run, ticket):
+    if run.state == worker_table.VOID:
+        # Its worker's lease expired while the start was being recorded, and the task
+        # may have been placed again.
+        return
     worker = state.workers.get(run.worker)
     if (
         run.state == worker_table.STOPPING
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -9,7 +9,7 @@
 from .log import get_logger
 from .queue_index import mark_changed
 from .staged_jobs import COMPLETED, DONE, FAILED, PLACED, WAITING, is_job_done
-from .workers import ACTIVE, ADOPTED, RECORDING, SENT, STOPPING
+from .workers import ACTIVE, ADOPTED, RECORDING, SENT, STOPPING, VOID
 
 __all__ = [
     "discard_run",
@@ -87,6 +87,7 @@
     worker = state.workers.get(run.worker)
     if worker is not None:
         workers.remove_run(worker, run)
+    run.state = VOID
     log(
         "info",
         "run_void",
--- a/cornelward/workers.py
+++ b/cornelward/workers.py
@@ -15,6 +15,7 @@
     "RECORDING",
     "SENT",
     "STOPPING",
+    "VOID",
     "Run",
     "Worker",
     "WorkerInfo",
@@ -37,6 +38,8 @@
 # States of a run.
 RECORDING, SENT, ACTIVE = "recording", "sent", "active"
 STOPPING, ADOPTED = "stopping", "adopted"
+# The run was discarded; its start must not be sent any more.
+VOID = "void"
 
 
 class WorkerInfo(NamedTuple):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,7 +6,7 @@
 
 import msgspec
 import pytest
-from fixtures_dispatch import ADVISED, Report, Sim, steps_of
+from fixtures_dispatch import ADVISED, LEASE_S, LONGEST_LEASE_S, Report, Sim, steps_of
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, LessThan
 
@@ -292,6 +292,27 @@
     assert_that(worker.number, Equals(1))
 
 
+def test_start_whose_record_outlasts_the_lease_of_its_worker_is_not_sent():
+    # Guards against two runs of a task: the store answers only after the silent
+    # worker's lease has expired and the task has been placed on another worker.
+    sim = Sim(1, workers=2)
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.run(LONGEST_LEASE_S + 2.0)
+    sim.store.down = True
+    sim.submit("a" * 16, steps_of(1, estimate_s=30.0))
+    sim.leader.step()
+    (silent,) = [w for w in sim.leader.core.workers.values() if w.runs]
+    sim.workers[silent.info.id].silent = True
+    sim.run(LEASE_S + 3.0)
+    sim.store.down = False
+    sim.workers[silent.info.id].silent = False
+    sim.run(3.0)
+    assert_that(sim.violations, Equals([]))
+    running = [k for w in sim.workers.values() for k in w.running]
+    assert_that(running, HasLength(1))
+
+
 def test_cancelled_job_is_stopped_and_reported_as_cancelled():
     sim = Sim(1)
     sim.start_leader()
--- a/tests/test_start_relay.py
+++ b/tests/test_start_relay.py
@@ -7,7 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 
-from cornelward import dispatch, node_starts
+from cornelward import dispatch, dispatch_polls, node_starts
 from cornelward.dispatch_effects import Start
 from cornelward.messages import StartOrder, StartOrders, StartResults, encode
 from cornelward.node_jobs import PeerState
@@ -17,7 +17,7 @@
     connect_worker_commands,
 )
 from cornelward.start_relay import Payloads, digest_of, is_worth_relaying
-from cornelward.workers import STOPPING
+from cornelward.workers import STOPPING, VOID
 
 JOB = "a" * 16
 ENTRY = "10.0.0.5:1"
@@ -177,12 +177,28 @@
     assert_that(node.messages, HasLength(1))
 
 
-def test_starts_that_were_stopped_during_the_pause_are_dropped(node):
+@pytest.mark.parametrize("state", [STOPPING, VOID])
+def test_starts_that_were_stopped_during_the_pause_are_dropped(node, state):
     term, starts = started_job(node)
     term.unconfirmed_since = node.now
     node_starts.execute_starts(node, term, starts)
     for effect in starts:
-        effect.run.state = STOPPING
+        effect.run.state = state
+    node.leadership.last_request_at = node.now + 0.01
+    node_starts.confirm_term(node, term)
+    assert_that((node.orders, node.messages), Equals(([], [])))
+
+
+def test_start_held_back_is_not_sent_after_the_lease_of_its_worker_expired(node):
+    # The task may have been placed again: it would run twice.
+    term, starts = started_job(node)
+    core = term.dispatcher
+    term.unconfirmed_since = node.now
+    node_starts.execute_starts(node, term, starts)
+    for worker in core.workers.values():
+        worker.failed_polls = 1
+    now = 1 + max(worker.lease_ends_at for worker in core.workers.values())
+    dispatch_polls.drop_lost_workers(core, now)
     node.leadership.last_request_at = node.now + 0.01
     node_starts.confirm_term(node, term)
     assert_that((node.orders, node.messages), Equals(([], [])))
