--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,7 +8,7 @@
 import pytest
 from fixtures_dispatch import ADVISED, LEASE_S, LONGEST_LEASE_S, Report, Sim, steps_of
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength, LessThan
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 
 from cornelward import (
     dispatch,
@@ -313,6 +313,27 @@
     assert_that(running, HasLength(1))
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_worker_that_was_silent_for_longer_than_its_lease_gets_tasks_again(seed):
+    # Guards against workers that stay unused although they are back: the registry had
+    # kept their entries, and without runs they were not polled any more.
+    sim = Sim(seed, workers=3)
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.run(LONGEST_LEASE_S + 2.0)
+    sim.submit("a" * 16, steps_of(9, estimate_s=20.0))
+    sim.run(1.0)
+    silent = sim.rng.choice([w for w in sim.workers.values() if w.running])
+    silent.silent = True
+    sim.run(LEASE_S + sim.rng.uniform(2.0, 6.0))
+    silent.silent = False
+    sim.run(2.0)
+    sim.submit("b" * 16, steps_of(24, estimate_s=2.0))
+    sim.run(1.0)
+    assert_that(len(silent.running), GreaterThan(0))
+    assert_that(sim.violations, Equals([]))
+
+
 def test_cancelled_job_is_stopped_and_reported_as_cancelled():
     sim = Sim(1)
     sim.start_leader()
