Log why tasks that last wait for a run

Change: one line each time the reason changes. Tests: test_docs, test_advising, test_planning passed.

--- a/cornelward/dispatch_plan.py
+++ b/cornelward/dispatch_plan.py
@@ -10,10 +10,13 @@
 from . import staged_jobs as jobs
 from . import workers as worker_table
 from .dispatch_runs import mark_dirty
+from .log import get_logger
 from .staged_jobs import PLACED, WAITING, is_step_ready
 
 __all__ = ["MAX_UNPLACED_JOBS", "ask_about_next_steps", "ask_early", "plan"]
 
+log = get_logger("dispatch_plan")
+
 # Only the first steps in planning order have expired tickets renewed while they wait
 # for capacity.
 STEPS_WITH_TICKETS = 8
@@ -94,10 +97,29 @@
             approved = None if queue.advice is None else tickets.approved
             planning.reserve_for_gang(capacity, candidate, queue.service, approved)
     if queue.advice is not None and len(placed) < len(tasks):
-        _ask(state, this_pass, candidate, queue, rank)
+        why = _ask(state, this_pass, candidate, queue, rank)
+        if job.spec.steps[key[1]].long_running:
+            _log_wait(candidate, len(tasks) - len(placed), why)
     return len(placed)
 
 
+def _log_wait(candidate, missing, why):
+    """Log why tasks of a long-running step wait, each time the reason changes."""
+    job, key, tasks, allowed = candidate
+    tickets = advising.tickets_of(job, key)
+    if tickets.waits_for == why:
+        return
+    tickets.waits_for = why
+    log(
+        "info",
+        "tasks_wait",
+        task=jobs.task_name(job, tasks[0]),
+        count=missing,
+        tickets=len(allowed),
+        why=why,
+    )
+
+
 def _schedule_next_steps(state, now, job, key):
     """Schedule advice about the steps that wait for a step whose tasks are placed."""
     occurrence, number = key
@@ -174,12 +196,17 @@
 
 
 def _ask(state, this_pass, candidate, queue, rank):
-    """Ask the policy service about workers with no answer yet or an expired ticket."""
+    """Ask the policy service about workers with no answer yet or an expired ticket.
+
+    Returns what the step waits for.
+    """
     now, capacity = this_pass.now, this_pass.capacity
     job, key = candidate.job, candidate.key
     tickets = advising.tickets_of(job, key)
-    if tickets.call_ids or not advising.has_free_node(state.advising, now):
-        return
+    if tickets.call_ids:
+        return "advice"
+    if not advising.has_free_node(state.advising, now):
+        return "a node that asks"
     askable = capacity.askable.get(queue.service, ())
     unknown = [i for i in askable if i not in tickets.asked]
     expired = [
@@ -187,11 +214,15 @@
         for i in tickets.approved
         if i in capacity.workers and i not in candidate.allowed
     ]
-    if not unknown and (not expired or rank >= STEPS_WITH_TICKETS):
-        return
+    if not unknown and not expired:
+        return "room on approved workers"
+    if not unknown and rank >= STEPS_WITH_TICKETS:
+        return "its turn for new tickets"
     # Approval does not change: workers that were approved need a new ticket only.
     wanted, missing = planning.workers_to_ask(capacity, candidate, expired, 1.0)
     if missing > 0 or not expired:
         rate = advising.approval_rate(state.advising, queue.name)
         wanted += planning.workers_to_ask(capacity, candidate, unknown, rate)[0]
-    state.effects += advising.request_advice(state.advising, now, job, key, wanted)
+    calls = advising.request_advice(state.advising, now, job, key, wanted)
+    state.effects += calls
+    return "advice" if calls else "a node that asks"
