Stop the runs of an ended job that a successor finds

Callers saw, or could see: a job that was cancelled or had failed ran on after a change of leader, without limit if its tasks last.

Cause: a leader sends its stops when it decides the outcome. If they are lost and it is replaced, the successor reads the outcome and adopts the runs, but retries only stops that it has sent itself, and it sent none.

Change: a run of an ended job that a worker lists is stopped, unless that was asked before.

Evidence: test_runs_whose_stop_was_lost_are_stopped_by_a_successor failed before (all 8 runs went on 2 s after the takeover, for both outcomes) and passes; tests/test_dispatch.py and tests/test_node.py pass.

--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -254,6 +254,9 @@
         if run.state in (SENT, ADOPTED):
             run.state = ACTIVE
             run.acked_at = now
+        if run.job.outcome is not None and run.task.run is run:
+            # The leader that recorded the outcome may have failed to stop this run.
+            request_stop(state, now, run)
         run.checkpoint = checkpoint or run.checkpoint
         if progress != run.progress or run.progress_at is None:
             run.progress, run.progress_at = progress, now
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -306,6 +306,28 @@
     assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals("cancelled"))
 
 
+@pytest.mark.parametrize("outcome", ["cancelled", "failed"])
+def test_runs_whose_stop_was_lost_are_stopped_by_a_successor(outcome):
+    # A former leader recorded the job's outcome, but its stops did not arrive.
+    sim = Sim(1)
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.submit("a" * 16, steps_of(8, estimate_s=90.0))
+    sim.run(1.0)
+    for worker in sim.workers.values():
+        worker.silent = True
+    dispatch.end_job(sim.leader.core, sim.now, sim.leader.core.jobs["a" * 16], outcome)
+    sim.run(0.5)
+    sim.leader.dead = True
+    for worker in sim.workers.values():
+        worker.silent = False
+    sim.start_leader()
+    sim.run(2.0)
+    running = [k for w in sim.workers.values() for k in w.running]
+    assert_that(running, Equals([]))
+    assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals(outcome))
+
+
 def test_cancel_while_the_end_is_being_recorded_gets_a_reply():
     # Guards against a second cancel that is never answered: a DELETE waited until its
     # time limit and got status 410.
