Answer a cancel of an ended job only once its end is recorded

Callers could see: a DELETE answered 410, as the job had failed, and the job run on under another leader.

Cause: the leader answered as soon as it had decided that a job failed or completed. If it was replaced before the record was written, the successor knew neither of the outcome nor of the cancel.

Change: the answer waits for the record, as that of a successful cancel does.

Evidence: test_cancel_is_not_answered_as_ended_before_the_end_is_recorded failed before for both outcomes (answered at once while the store was down) and passes; test_dispatch, test_node and test_node_jobs pass.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -23,8 +23,6 @@
 from .log import get_logger
 from .staged_jobs import (
     CANCELLED,
-    COMPLETED,
-    FAILED,
     PLACED,
     QUEUED,
     RUNNING,
@@ -193,18 +191,17 @@
 def cancel(state, now, job_id, reply):
     """Cancel a job.
 
-    Calls ``reply(True)`` once the cancellation is recorded, ``reply(False)`` if the job
-    has completed or failed, and ``reply(None)`` if it is unknown.
+    Calls ``reply(True)`` once the cancellation is recorded, ``reply(False)`` once it is
+    recorded that the job has completed or failed, and ``reply(None)`` if it is unknown.
     """
     job = state.jobs.get(job_id)
-    if state.finished.get(job_id) == CANCELLED:
-        state.effects.append(Reply(reply, True))
+    if job is None:
+        outcome = state.finished.get(job_id)
+        cancelled = outcome == CANCELLED if outcome is not None else None
+        state.effects.append(Reply(reply, cancelled))
         return
-    if job is None or job.outcome in (COMPLETED, FAILED):
-        is_finished = job is not None or job_id in state.finished
-        state.effects.append(Reply(reply, False if is_finished else None))
-        return
-    mark_dirty(state, job, Reply(reply, True))
+    # An outcome that is only decided is unknown to a successor.
+    mark_dirty(state, job, Reply(reply, job.outcome in (None, CANCELLED)))
     if job.outcome is None:
         end_job(state, now, job, CANCELLED)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -343,6 +343,27 @@
     assert_that(replies, Equals([True, True]))
 
 
+@pytest.mark.parametrize("outcome", ["completed", "failed"])
+def test_cancel_is_not_answered_as_ended_before_the_end_is_recorded(outcome):
+    # A successor cannot read an outcome that was only decided, and runs the job on.
+    sim = Sim(1)
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.submit("a" * 16, steps_of(2, estimate_s=30.0))
+    sim.run(1.0)
+    core = sim.leader.core
+    sim.store.down = True
+    dispatch.end_job(core, sim.now, core.jobs["a" * 16], outcome)
+    replies = []
+    dispatch.cancel(core, sim.now, "a" * 16, replies.append)
+    sim.run(0.5)
+    assert_that(replies, Equals([]))
+    sim.store.down = False
+    sim.run(1.0)
+    assert_that(replies, Equals([False]))
+    assert_that(dispatch.state_of(core, "a" * 16), Equals(outcome))
+
+
 def test_job_without_a_started_task_counts_as_pending():
     sim = Sim(1, workers=1)
     sim.start_leader()
