--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -348,6 +348,28 @@
     assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals("cancelled"))
 
 
+@pytest.mark.parametrize("outcome", ["cancelled", "failed"])
+def test_runs_whose_stop_was_lost_are_stopped_by_a_successor(outcome):
+    # A former leader recorded the job's outcome, but its stops did not arrive.
+    sim = Sim(1)
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.submit("a" * 16, steps_of(8, estimate_s=90.0))
+    sim.run(1.0)
+    for worker in sim.workers.values():
+        worker.silent = True
+    dispatch.end_job(sim.leader.core, sim.now, sim.leader.core.jobs["a" * 16], outcome)
+    sim.run(0.5)
+    sim.leader.dead = True
+    for worker in sim.workers.values():
+        worker.silent = False
+    sim.start_leader()
+    sim.run(2.0)
+    running = [k for w in sim.workers.values() for k in w.running]
+    assert_that(running, Equals([]))
+    assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals(outcome))
+
+
 def test_cancel_while_the_end_is_being_recorded_gets_a_reply():
     # Guards against a second cancel that is never answered: a DELETE waited until its
     # time limit and got status 410.
@@ -363,6 +385,27 @@
     assert_that(replies, Equals([True, True]))
 
 
+@pytest.mark.parametrize("outcome", ["completed", "failed"])
+def test_cancel_is_not_answered_as_ended_before_the_end_is_recorded(outcome):
+    # A successor cannot read an outcome that was only decided, and runs the job on.
+    sim = Sim(1)
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.submit("a" * 16, steps_of(2, estimate_s=30.0))
+    sim.run(1.0)
+    core = sim.leader.core
+    sim.store.down = True
+    dispatch.end_job(core, sim.now, core.jobs["a" * 16], outcome)
+    replies = []
+    dispatch.cancel(core, sim.now, "a" * 16, replies.append)
+    sim.run(0.5)
+    assert_that(replies, Equals([]))
+    sim.store.down = False
+    sim.run(1.0)
+    assert_that(replies, Equals([False]))
+    assert_that(dispatch.state_of(core, "a" * 16), Equals(outcome))
+
+
 def test_job_without_a_started_task_counts_as_pending():
     sim = Sim(1, workers=1)
     sim.start_leader()
