Acknowledge ends only to the life of a worker that listed them

Cause: an idle worker is not polled. If it restarted under its id and the registry had not told of that yet, the next poll carried the last number of ends of the former life. The new life's ends up to that number were forgotten without having been listed; their runs were neither running nor listed and so taken for never run. A poll may wait a second for an end, which is long enough for short tasks to start and end meanwhile. Beside it: a number counted as acknowledged once it was sent; if that poll was lost and the worker was idle, its ends stayed listed, and the worker, with a failed poll and no reason for another, was never used again.

Change: what is acknowledged follows from the worker's latest answer. A number is sent only while the answer listed an end up to it and is less than 0.3 s old. If the latest answer is older than 1 s, the poll only asks: no number, no lease (it would be counted on the former life's clock), no waiting.

Why it works: an answer names the life that gave it; the number is sent to a worker that was in this life 0.3 s before at most. What remains: a restart within that time, and a poll that is carried out by a later life after its call has failed; a poll cannot name the life that it is meant for.

--- a/cornelward/dispatch_polls.py
+++ b/cornelward/dispatch_polls.py
@@ -15,6 +15,10 @@
 # recorded in the store.
 POLL_RETRY_S = 0.3
 POLL_INTERVAL_S = 0.8
+# A worker may have restarted since its latest answer if that is older. The first limit
+# is for acknowledgements; the second one, for leases, is longer than POLL_INTERVAL_S.
+MIN_RESTART_S = 0.3
+FRESH_ANSWER_S = 1.0
 
 
 def drop_lost_workers(state, now):
@@ -62,21 +66,36 @@
 
 
 def _send_poll(state, now, worker):
+    """Poll a worker.
+
+    After a failed poll, and if the latest answer is old, the worker may have restarted,
+    and its numbers of ends have started anew. Such a poll only asks for the state: an
+    acknowledgement would cover ends that no report has listed, and the lease would be
+    counted on the clock of the former life. A lease is not extended after a failed poll
+    also so that it expires eventually: each unanswered poll might extend it again.
+    """
     worker.poll_in_flight = True
     worker.last_poll_at = now
-    # After a failed poll the worker may have restarted, and an acknowledgement would
-    # cover ends of its new life that no report has listed yet.
-    last_end = 0 if worker.failed_polls else worker.last_end_recorded
-    worker.last_end_acked = max(worker.last_end_acked, last_end)
+    info = worker.info
+    if not _has_answered_within(worker, now, FRESH_ANSWER_S):
+        state.effects.append(Poll(info.id, info.address, None, 0, 0.0))
+        return
+    last_end, can_wait = 0, worker.runs and not worker.unrecorded_ends
+    if worker.last_end_recorded > worker.last_end_acked:
+        if _has_answered_within(worker, now, MIN_RESTART_S):
+            last_end = worker.last_end_recorded
+        else:
+            can_wait = False
     deadline = None
-    # The lease is not extended after a failed poll, so that it expires eventually: each
-    # unanswered poll might extend it again. Nor is it extended before the first answer,
-    # as the worker's clock is then known only from its registry entry.
-    if worker.answered_at is not None and worker.runs and not worker.failed_polls:
+    if worker.runs:
         deadline = extend_lease(worker, now, state.cfg["lease_s"])
-    can_wait = (
-        worker.runs and not worker.unrecorded_ends and worker.answered_at is not None
-    )
-    wait_s = POLL_WAIT_S if can_wait and not worker.failed_polls else 0.0
-    info = worker.info
+    wait_s = POLL_WAIT_S if can_wait else 0.0
     state.effects.append(Poll(info.id, info.address, deadline, last_end, wait_s))
+
+
+def _has_answered_within(worker, now, seconds):
+    return (
+        worker.answered_at is not None
+        and not worker.failed_polls
+        and now - worker.answered_at <= seconds
+    )
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -205,6 +205,9 @@
     if report.born != worker.info.born:
         reset_restarted_worker(worker, now, report.born)
     workers.update_clock(worker, now, report.clock_s)
+    # Ends that are listed are not acknowledged, even if a poll was sent that did so.
+    listed = [entry[0] for entry in report.ended]
+    worker.last_end_acked = min(listed) - 1 if listed else worker.last_end_seen
     for number, name, attempt, how, checkpoint in report.ended:
         if number > worker.last_end_seen:
             worker.last_end_seen = number
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -97,7 +97,8 @@
     """A worker that follows the platform's protocol.
 
     ``silent`` makes it unreachable; ``late_share`` is the share of requests that it
-    carries out only after their calls have failed.
+    carries out only after their calls have failed. With ``keeps_last_end``, an
+    acknowledged number also covers the ends up to it that come later in that life.
     """
 
     def __init__(self, sim, info, drift=0.0):
@@ -106,6 +107,7 @@
         self.drift = drift
         self.silent = False
         self.late_share = 0.0
+        self.keeps_last_end = False
         self.restart(info.born)
 
     def restart(self, born):
@@ -119,6 +121,8 @@
         # Numbers of ended runs that became void because the lease ran out meanwhile.
         self.void_ends = set()
         self.number = 0
+        # Highest number acknowledged in this life.
+        self.acknowledged = 0
         self.deadline = 0.0
 
     @property
@@ -137,8 +141,12 @@
             return
         self.closed_attempts[key[0]] = max(self.closed_attempts.get(key[0], 0), key[1])
         self.number += 1
-        self.ended.append((self.number, *key, how, ""))
+        entry = (self.number, *key, how, "")
         self.sim.on_run_ended(self, key, how)
+        if self.keeps_last_end and self.number <= self.acknowledged:
+            self.sim.on_end_acknowledged(entry)
+        else:
+            self.ended.append(entry)
 
     def start(self, effect, token):
         self._sweep()
@@ -185,6 +193,7 @@
         for entry in self.ended:
             if entry[0] <= effect.last_end and entry[0] not in self.void_ends:
                 self.sim.on_end_acknowledged(entry)
+        self.acknowledged = max(self.acknowledged, effect.last_end)
         self.ended = [e for e in self.ended if e[0] > effect.last_end]
         running = [(*key, "", 50) for key in self.running]
         return Report(self.clock, self.info.born, running, list(self.ended))
@@ -214,6 +223,8 @@
         self.leaders = []
         self.token = 0
         self.approved_share = 0.7
+        # Whether workers delay their responses to polls that ask for it.
+        self.polls_wait = False
 
     def add_worker(self, info):
         """Add a worker whose clock is up to 2% slow."""
@@ -448,21 +459,36 @@
 
         sim.store.call(effect.part, effect.expected, effect.writes, done)
 
-    def _send_order(self, worker_id, call, on_done, lost_answer):
-        """Send a request to a worker; it may be lost or carried out late."""
+    def _send_order(self, worker_id, call, on_done, lost_answer, wait_s=0.0):
+        """Send a request to a worker; it may be lost or carried out late.
+
+        A request that is late is lost if the worker restarts meanwhile. The response to
+        a poll that waits is delayed until a run ends.
+        """
         sim = self.sim
         worker = sim.workers[worker_id]
         late = sim.rng.random() < worker.late_share
         if worker.silent:
             sim.after(CALL_TIMEOUT_S, lambda: on_done(lost_answer))
         elif late:
-            sim.after(sim.rng.uniform(*LATE_DELAY_S), call)
+            life = worker.info.born
+            sim.after(
+                sim.rng.uniform(*LATE_DELAY_S),
+                lambda: call() if worker.info.born == life else None,
+            )
             sim.after(CALL_TIMEOUT_S, lambda: on_done(lost_answer))
         else:
             latency_s = sim.rng.uniform(0.002, 0.02)
 
-            def arrive():
+            def arrive(waited_s=0.0, life=None):
+                if life not in (None, worker.info.born):
+                    sim.after(CALL_TIMEOUT_S, lambda: on_done(lost_answer))
+                    return
                 answer = call()
+                if waited_s < wait_s and answer != "fence" and not answer.ended:
+                    step_s, life = 0.05, worker.info.born
+                    sim.after(step_s, lambda: arrive(waited_s + step_s, life))
+                    return
                 sim.after(latency_s, lambda: on_done(answer))
 
             sim.after(latency_s, arrive)
@@ -516,7 +542,8 @@
 
         token = self.token
         call = lambda: worker.poll(effect, token)  # noqa: E731
-        self._send_order(effect.worker, call, done, None)
+        wait_s = effect.wait_s if self.sim.polls_wait else 0.0
+        self._send_order(effect.worker, call, done, None, wait_s)
 
     def _askadvice(self, effect):
         sim = self.sim
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -206,6 +206,50 @@
     assert_all_done(sim)
 
 
+@pytest.mark.parametrize("polls_wait", [False, True])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_idle_worker_that_restarts_unseen_keeps_its_new_ends(seed, polls_wait):
+    # An idle worker is not polled. Guards against a first poll of its new life that
+    # acknowledges numbers of the former one: the new ends up to them are never listed,
+    # and their tasks run again (rsl-cornelward, issue 23).
+    sim = Sim(seed, workers=2)
+    sim.fail_share = 0.0
+    sim.polls_wait = polls_wait
+    for worker in sim.workers.values():
+        worker.keeps_last_end = True
+    sim.start_leader()
+    for i in range(JOBS):
+        sim.submit(f"{i:016x}", steps_of(6, estimate_s=0.2, gang=i % 4 == 3))
+        sim.run(1.5)
+        idle = [w for w in sim.workers.values() if not (w.running or w.ended)]
+        for worker in sim.rng.sample(idle, min(1, len(idle))):
+            worker.restart(2 + i)
+        sim.run(sim.rng.choice((0.0, 0.01, 0.5)))
+        if i % 5 == 4:
+            sim.start_leader()
+        for other in sim.workers.values():
+            other.late_share = 0.1 if i % 3 == 1 else 0.0
+    sim.run(30)
+    assert_all_done(sim)
+
+
+def test_acknowledgement_that_did_not_arrive_is_sent_again():
+    # Guards against an idle worker that keeps its ends listed and, after the failed
+    # poll, is never used again.
+    sim = Sim(1, workers=1)
+    worker, known = start_one_task(sim)
+    sim.store.down = True
+    sim.run(2.0)
+    assert_that(worker.ended, HasLength(1))
+    worker.silent = True
+    sim.store.down = False
+    sim.run(2.0)
+    worker.silent = False
+    sim.run(2.0)
+    assert_that(worker.ended, Equals([]))
+    assert_that(known.failed_polls, Equals(0))
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_workers_restarted_under_the_same_id(seed):
     sim = Sim(seed)
