Poll a worker without runs again after a failed poll

What operators saw: an executor that the leader could not reach for longer than its lease got no task any more until the next change of leader, though it was registered and answered.

Cause: a worker counts as unreachable until a poll succeeds, but only workers with runs, unknown runs or ends to acknowledge were polled. Once the runs of a silent worker had lapsed, no poll followed.

--- a/cornelward/dispatch_polls.py
+++ b/cornelward/dispatch_polls.py
@@ -43,16 +43,17 @@
 def send_polls(state, now, workers):
     """Poll the workers that need it.
 
-    A worker is polled if it has runs, lists unknown runs, has never answered, or has
+    A worker is polled if it has runs, lists unknown runs, has not answered, or has
     ended runs that can be acknowledged.
     """
     for worker in workers:
         if worker.poll_in_flight or not worker.info.address:
             continue
-        never_answered = worker.answered_at is None and worker.registered
+        is_unanswered = worker.answered_at is None or worker.failed_polls
+        awaits_answer = is_unanswered and worker.registered
         has_unacked_ends = worker.last_end_recorded > worker.last_end_acked
         if not (
-            worker.runs or worker.unknown_runs or never_answered or has_unacked_ends
+            worker.runs or worker.unknown_runs or awaits_answer or has_unacked_ends
         ):
             continue
         pause = 0.0
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -250,6 +250,19 @@
     assert_that(known.failed_polls, Equals(0))
 
 
+def test_worker_that_was_silent_for_longer_than_its_lease_is_used_again():
+    # Guards against a worker without runs that is not polled after a failed poll: it
+    # counts as unreachable until the next change of leader.
+    sim = Sim(1, workers=1)
+    worker, known = start_one_task(sim)
+    worker.silent = True
+    sim.run(12.0)
+    assert_that(known.runs, Equals({}))
+    worker.silent = False
+    sim.run(5.0)
+    assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals("completed"))
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_workers_restarted_under_the_same_id(seed):
     sim = Sim(seed)
