Count a start's lease as the longest one if the worker may have restarted

What callers could see: two runs of a task at a time, the first on a worker that nobody reached any more.

Cause: the lease in a start order is a time on the worker's clock, known from its latest answer. A worker that has restarted unseen counts its clock anew; the time is far ahead of it and is cut to the longest lease. The leader counted the shorter one, and placed the task again while it still ran.

Change: the leader assumes the longest lease for a start on a worker that has not answered within a second (the poll sent at the placement is normally answered before). Drops an unused constant.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -279,6 +279,9 @@
     run.state = worker_table.SENT
     run.sent_at = now
     deadline = worker_table.extend_lease(worker, now, state.cfg["lease_s"])
+    if not worker_table.has_answered_within(worker, now, worker_table.FRESH_ANSWER_S):
+        longest_s = state.cfg["longest_lease_s"]
+        worker_table.assume_longest_lease(worker, now, longest_s)
     state.effects.append(Start(run, worker.info.address, deadline, ticket))
 
 
--- a/cornelward/dispatch_polls.py
+++ b/cornelward/dispatch_polls.py
@@ -3,7 +3,7 @@
 from .dispatch_effects import Poll
 from .dispatch_runs import discard_run
 from .log import get_logger
-from .workers import extend_lease
+from .workers import FRESH_ANSWER_S, extend_lease, has_answered_within
 
 __all__ = ["drop_lost_workers", "send_polls"]
 
@@ -15,10 +15,9 @@
 # recorded in the store.
 POLL_RETRY_S = 0.3
 POLL_INTERVAL_S = 0.8
-# A worker may have restarted since its latest answer if that is older. The first limit
-# is for acknowledgements; the second one, for leases, is longer than POLL_INTERVAL_S.
+# An acknowledgement is sent only if the worker's latest answer is no older than this:
+# it may have restarted since.
 MIN_RESTART_S = 0.3
-FRESH_ANSWER_S = 1.0
 
 
 def drop_lost_workers(state, now):
@@ -78,12 +77,12 @@
     worker.poll_in_flight = True
     worker.last_poll_at = now
     info = worker.info
-    if not _has_answered_within(worker, now, FRESH_ANSWER_S):
+    if not has_answered_within(worker, now, FRESH_ANSWER_S):
         state.effects.append(Poll(info.id, info.address, None, 0, 0.0))
         return
     last_end, can_wait = 0, worker.runs and not worker.unrecorded_ends
     if worker.last_end_recorded > worker.last_end_acked:
-        if _has_answered_within(worker, now, MIN_RESTART_S):
+        if has_answered_within(worker, now, MIN_RESTART_S):
             last_end = worker.last_end_recorded
         else:
             can_wait = False
@@ -92,11 +91,3 @@
         deadline = extend_lease(worker, now, state.cfg["lease_s"])
     wait_s = POLL_WAIT_S if can_wait else 0.0
     state.effects.append(Poll(info.id, info.address, deadline, last_end, wait_s))
-
-
-def _has_answered_within(worker, now, seconds):
-    return (
-        worker.answered_at is not None
-        and not worker.failed_polls
-        and now - worker.answered_at <= seconds
-    )
--- a/cornelward/workers.py
+++ b/cornelward/workers.py
@@ -31,8 +31,9 @@
 # Killing runs at the end of a lease takes time, and a worker that was suspended needs
 # time to notice that its lease has expired.
 LEASE_EXPIRY_MARGIN_S = 0.4
-# A worker that has not answered for this long gets no new tasks.
-CONTACT_S = 2.5
+# A worker may have restarted since its latest answer if that is older. Longer than the
+# interval between polls.
+FRESH_ANSWER_S = 1.0
 
 # States of a run.
 RECORDING, SENT, ACTIVE = "recording", "sent", "active"
@@ -161,6 +162,15 @@
         self.slowness = 1.0
 
 
+def has_answered_within(worker, now, seconds):
+    """Return whether the latest poll was answered, at most ``seconds`` ago."""
+    return (
+        worker.answered_at is not None
+        and not worker.failed_polls
+        and now - worker.answered_at <= seconds
+    )
+
+
 def new_worker(info, now, unknown_lease_s=0.0):
     """Return a Worker; a former leader's lease may hold for ``unknown_lease_s``."""
     worker = Worker(info)
@@ -191,6 +201,16 @@
     return deadline
 
 
+def assume_longest_lease(worker, now, longest_s):
+    """Raise ``lease_ends_at``: a request sent at ``now`` may grant the longest lease.
+
+    A worker cuts a lease to that if its clock is behind the one that we know, as after
+    a restart.
+    """
+    ends_at = now + longest_s / (1 - CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_S
+    worker.lease_ends_at = max(worker.lease_ends_at, ends_at)
+
+
 def bound_lease(worker, now, lease_s):
     """Lower ``lease_ends_at``: the lease holds for at most ``lease_s`` from ``now``."""
     ends_at = now + lease_s / (1 - CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_S
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -263,6 +263,29 @@
     assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals("completed"))
 
 
+def test_task_of_a_worker_that_restarted_unseen_outlives_no_lease():
+    # The new life's clock is behind, so that it cuts the lease of the start to the
+    # longest one. Guards against a second run before that has run out.
+    sim = Sim(1, workers=2)
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.run(20.0)
+    for worker in sim.workers.values():
+        worker.restart(2)
+        worker.silent = True
+    sim.submit("a" * 16, steps_of(1, estimate_s=30.0))
+    sim.leader.step()
+    # The polls are lost; the start is not.
+    for worker in sim.workers.values():
+        worker.silent = False
+    sim.run(0.1)
+    (worker,) = [w for w in sim.workers.values() if w.running]
+    worker.silent = True
+    sim.run(60.0)
+    assert_that(sim.violations, Equals([]))
+    assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals("completed"))
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_workers_restarted_under_the_same_id(seed):
     sim = Sim(seed)
