Discard no run by a report that may leave out ends

What callers could see: tasks that had ended as done ran again, where a worker had more than 500 ends that were not acknowledged yet, as after many short tasks during an outage of the store.

Cause: a report lists at most 500 ends. A run that was neither running nor listed was taken for never run.

Change: a report with 500 ends discards nothing; the next ones list the rest once the first are recorded.

--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -26,6 +26,8 @@
 
 # A stop request without a response is sent again after this time.
 STOP_RETRY_S = 0.3
+# A worker lists at most this many ended runs at a time, the first ones.
+MAX_LISTED_ENDS = 500
 
 
 def mark_dirty(state, job, effect=None):
@@ -205,16 +207,11 @@
     if report.born != worker.info.born:
         reset_restarted_worker(worker, now, report.born)
     workers.update_clock(worker, now, report.clock_s)
-    # Ends that are listed are not acknowledged, even if a poll was sent that did so.
-    listed = [entry[0] for entry in report.ended]
-    worker.last_end_acked = min(listed) - 1 if listed else worker.last_end_seen
-    for number, name, attempt, how, checkpoint in report.ended:
-        if number > worker.last_end_seen:
-            worker.last_end_seen = number
-            _handle_run_end(
-                state, now, worker, number, (name, attempt), how, checkpoint
-            )
-    _reconcile_runs(state, now, worker, sent_at, report.running)
+    _handle_ends(state, now, worker, report.ended)
+    _update_listed_runs(state, now, worker, report.running)
+    # A list of that length may leave out later ends.
+    if len(report.ended) < MAX_LISTED_ENDS:
+        _discard_unlisted_runs(state, now, worker, sent_at, report.running)
     if not worker.unrecorded_ends:
         worker.last_end_recorded = worker.last_end_seen
 
@@ -236,16 +233,10 @@
     worker.deadline_s = 0.0
 
 
-def _reconcile_runs(state, now, worker, sent_at, running):
-    """Reconcile the runs in our table with those that the worker lists.
-
-    Runs that are not in our table are stopped. Runs that the worker does not list are
-    discarded if the report would have listed them.
-    """
-    present = set()
+def _update_listed_runs(state, now, worker, running):
+    """Update our table from the runs that the worker lists; stop those not in it."""
     unknown_runs = set()
     for name, attempt, checkpoint, progress in running:
-        present.add((name, attempt))
         run = worker.runs.get((name, attempt))
         if run is None:
             unknown_runs.add((name, attempt))
@@ -263,6 +254,11 @@
     if unknown_runs != worker.unknown_runs:
         worker.unknown_runs = unknown_runs
         state.needs_plan = worker.changed = True
+
+
+def _discard_unlisted_runs(state, now, worker, sent_at, running):
+    """Discard the runs that the report would have listed."""
+    present = {(name, attempt) for name, attempt, _, _ in running}
     for key, run in list(worker.runs.items()):
         if key not in present and _report_covers_run(run, sent_at):
             discard_run(state, now, run, "not listed by the worker")
@@ -278,6 +274,19 @@
     return known_at is not None and known_at < sent_at
 
 
+def _handle_ends(state, now, worker, ended):
+    """Process the ends that a worker lists, those that are new."""
+    # Ends that are listed are not acknowledged, even if a poll was sent that did so.
+    listed = [entry[0] for entry in ended]
+    worker.last_end_acked = min(listed) - 1 if listed else worker.last_end_seen
+    for number, name, attempt, how, checkpoint in ended:
+        if number > worker.last_end_seen:
+            worker.last_end_seen = number
+            _handle_run_end(
+                state, now, worker, number, (name, attempt), how, checkpoint
+            )
+
+
 def _handle_run_end(state, now, worker, number, key, how, checkpoint):
     run = worker.runs.get(key)
     if run is None:
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -31,6 +31,8 @@
 # A call without a response fails after this time.
 CALL_TIMEOUT_S = 0.6
 LATE_DELAY_S = (2.0, 12.0)
+# A worker lists at most this many ended runs at a time.
+LISTED_ENDS = 500
 
 
 class Report(NamedTuple):
@@ -196,7 +198,8 @@
         self.acknowledged = max(self.acknowledged, effect.last_end)
         self.ended = [e for e in self.ended if e[0] > effect.last_end]
         running = [(*key, "", 50) for key in self.running]
-        return Report(self.clock, self.info.born, running, list(self.ended))
+        listed = self.ended[:LISTED_ENDS]
+        return Report(self.clock, self.info.born, running, listed)
 
 
 class Sim:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -233,6 +233,27 @@
     assert_all_done(sim)
 
 
+def test_ends_beyond_the_longest_list_are_not_taken_for_runs_that_never_were():
+    # A report lists at most 500 ends. While the store is down, more than that may wait
+    # to be acknowledged.
+    sim = Sim(1, workers=1, cpu=600_000)
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.run(0.5)
+    for i in range(4):
+        sim.submit(f"{i:016x}", steps_of(150, estimate_s=4.0))
+    sim.run(1.9)
+    (worker,) = sim.workers.values()
+    assert_that(worker.running, HasLength(600))
+    sim.store.down = True
+    sim.run(10.0)
+    sim.store.down = False
+    sim.run(10.0)
+    assert_that(sim.violations, Equals([]))
+    assert_that(states(sim), Equals({"completed"}))
+    assert_that(worker.number, Equals(600))
+
+
 def test_acknowledgement_that_did_not_arrive_is_sent_again():
     # Guards against an idle worker that keeps its ends listed and, after the failed
     # poll, is never used again.
