--- a/cornelward/dispatch_polls.py
+++ b/cornelward/dispatch_polls.py
@@ -3,7 +3,7 @@
 from .dispatch_effects import Poll
 from .dispatch_runs import discard_run
 from .log import get_logger
-from .workers import extend_lease
+from .workers import FRESH_ANSWER_S, extend_lease, has_answered_within
 
 __all__ = ["drop_lost_workers", "send_polls"]
 
@@ -16,6 +16,9 @@
 # Minimum interval after a failed poll of another worker, and between polls while ended
 # runs are being recorded in the store.
 POLL_INTERVAL_S = 0.8
+# An acknowledgement is sent only if the worker's latest answer is no older than this:
+# it may have restarted since.
+MIN_RESTART_S = 0.3
 
 
 def drop_lost_workers(state, now):
@@ -66,21 +69,28 @@
 
 
 def _send_poll(state, now, worker):
+    """Poll a worker.
+
+    After a failed poll, and if the latest answer is old, the worker may have restarted,
+    and its numbers of ends have started anew. Such a poll only asks for the state: an
+    acknowledgement would cover ends that no report has listed, and the lease would be
+    counted on the clock of the former life. A lease is not extended after a failed poll
+    also so that it expires eventually: each unanswered poll might extend it again.
+    """
     worker.poll_in_flight = True
     worker.last_poll_at = now
-    # After a failed poll the worker may have restarted, and an acknowledgement would
-    # cover ends of its new life that no report has listed yet.
-    last_end = 0 if worker.failed_polls else worker.last_end_recorded
-    worker.last_end_acked = max(worker.last_end_acked, last_end)
+    info = worker.info
+    if not has_answered_within(worker, now, FRESH_ANSWER_S):
+        state.effects.append(Poll(info.id, info.address, None, 0, 0.0))
+        return
+    last_end, can_wait = 0, worker.runs and not worker.unrecorded_ends
+    if worker.last_end_recorded > worker.last_end_acked:
+        if has_answered_within(worker, now, MIN_RESTART_S):
+            last_end = worker.last_end_recorded
+        else:
+            can_wait = False
     deadline = None
-    # The lease is not extended after a failed poll, so that it expires eventually: each
-    # unanswered poll might extend it again. Nor is it extended before the first answer,
-    # as the worker's clock is then known only from its registry entry.
-    if worker.answered_at is not None and worker.runs and not worker.failed_polls:
+    if worker.runs:
         deadline = extend_lease(worker, now, state.cfg["lease_s"])
-    can_wait = (
-        worker.runs and not worker.unrecorded_ends and worker.answered_at is not None
-    )
-    wait_s = POLL_WAIT_S if can_wait and not worker.failed_polls else 0.0
-    info = worker.info
+    wait_s = POLL_WAIT_S if can_wait else 0.0
     state.effects.append(Poll(info.id, info.address, deadline, last_end, wait_s))
