Move stopping and discarding of runs into a module of its own

No logic changes; the log's name stays dispatch_runs. test_dispatch, test_layers, test_planning and test_docs pass. In test_node.py, beside four other test runs, test_leader_that_stops_hands_over failed once (AssertionError, log not kept) and test_job_runs_its_steps_in_order once or twice with "Address already in use"; four runs on main passed.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -13,7 +13,7 @@
 from .dispatch_effects import Reply, Start
 from .dispatch_plan import ask_about_next_steps, ask_early, plan
 from .dispatch_polls import drop_lost_workers, send_polls
-from .dispatch_runs import discard_run, mark_dirty, request_stop, retry_stops
+from .dispatch_tasks import discard_run, mark_dirty, request_stop, retry_stops
 from .dispatch_workers import (
     deregister_worker,
     stop_runs_on_leaving_workers,
--- a/cornelward/dispatch_plan.py
+++ b/cornelward/dispatch_plan.py
@@ -9,7 +9,7 @@
 from . import advising, capacity_index, objectives, planning, queue_index
 from . import staged_jobs as jobs
 from . import workers as worker_table
-from .dispatch_runs import mark_dirty
+from .dispatch_tasks import mark_dirty
 from .log import get_logger
 from .staged_jobs import PLACED, WAITING, is_step_ready
 
--- a/cornelward/dispatch_polls.py
+++ b/cornelward/dispatch_polls.py
@@ -1,7 +1,7 @@
 """Core: polls workers for the state of their runs and extends their leases."""
 
 from .dispatch_effects import Poll
-from .dispatch_runs import discard_run
+from .dispatch_tasks import discard_run
 from .log import get_logger
 from .workers import FRESH_ANSWER_S, extend_lease, has_answered_within
 
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -1,43 +1,32 @@
-"""Core: updates runs from the responses of workers.
+"""Core: updates runs from the responses of workers."""
 
-The capacity of a run stays reserved until the worker reports the end of the run, no
-longer lists the run, or its lease has certainly expired.
-"""
-
-from . import commits, objectives, workers
+from . import objectives, workers
 from .dispatch_effects import Stop
+from .dispatch_tasks import (
+    discard_run,
+    fail_job,
+    mark_dirty,
+    release_task,
+    request_stop,
+)
 from .log import get_logger
 from .queue_index import mark_changed
-from .staged_jobs import COMPLETED, DONE, FAILED, PLACED, WAITING, is_job_done
-from .workers import ACTIVE, ADOPTED, RECORDING, SENT, STOPPING, VOID
+from .staged_jobs import COMPLETED, DONE, is_job_done
+from .workers import ACTIVE, ADOPTED, SENT
 
 __all__ = [
-    "discard_run",
-    "mark_dirty",
     "on_poll_result",
     "on_start_result",
     "on_stop_result",
-    "request_stop",
     "reset_restarted_worker",
-    "retry_stops",
 ]
 
 log = get_logger("dispatch_runs")
 
-# A stop request without a response is sent again after this time.
-STOP_RETRY_S = 0.3
 # A worker lists at most this many ended runs at a time, the first ones.
 MAX_LISTED_ENDS = 500
 
 
-def mark_dirty(state, job, effect=None):
-    """Schedule the job's state for commit; ``effect`` is carried out afterwards."""
-    if effect is not None:
-        job.after_commit.append(effect)
-    commits.mark_dirty(state.writers[commits.partition_of(job.spec.id)], job)
-    mark_changed(state.queue_index, job)
-
-
 def _mark_run_seen(state, job):
     """Note that a worker has reported a run of the job.
 
@@ -48,84 +37,6 @@
         mark_changed(state.queue_index, job)
 
 
-def request_stop(state, now, run):
-    """Stop a run.
-
-    If its start is still being recorded, the run is discarded once the record is
-    written, and no start request is sent.
-    """
-    if run.state == RECORDING:
-        run.state = STOPPING
-        return
-    if run.stop_sent_at is not None:
-        return
-    run.state = STOPPING
-    _send_stop(state, now, run)
-
-
-def _send_stop(state, now, run):
-    run.stop_sent_at = now
-    worker = state.workers.get(run.worker)
-    if worker is not None and worker.info.address:
-        address = worker.info.address
-        state.effects.append(Stop(run.worker, address, run.name, run.attempt))
-
-
-def retry_stops(state, now):
-    """Resend stop requests that got no response."""
-    for worker in state.workers.values():
-        for run in worker.runs.values():
-            if run.stop_sent_at is None or run.stop_acked_at is not None:
-                continue
-            if now - run.stop_sent_at >= STOP_RETRY_S and not worker.failed_polls:
-                _send_stop(state, now, run)
-
-
-def discard_run(state, now, run, reason):
-    """Remove a run that does not run on its worker and never will.
-
-    The run's capacity is released and its task may be placed again.
-    """
-    worker = state.workers.get(run.worker)
-    if worker is not None:
-        workers.remove_run(worker, run)
-    run.state = VOID
-    log(
-        "info",
-        "run_void",
-        task=run.name,
-        run=run.attempt,
-        worker=run.worker,
-        why=reason,
-    )
-    _release_task(state, now, run)
-
-
-def _release_task(state, now, run):
-    """Return the run's task to the waiting state.
-
-    Tasks that are done or have another run are left as they are.
-    """
-    job, task = run.job, run.task
-    state.needs_plan = True
-    if task.run is not run:
-        return
-    task.run = None
-    if task.state == PLACED:
-        task.state = WAITING
-        task.checkpoint = run.checkpoint or task.checkpoint
-    if run.step.gang and task.state != DONE:
-        _stop_gang(state, now, job, task.key[:2])
-    mark_dirty(state, job)
-
-
-def _stop_gang(state, now, job, key):
-    """Stop the other members of a gang: they would wait for the missing one."""
-    for task in job.tasks[key]:
-        if task.run is not None:
-            request_stop(state, now, task.run)
-
-
 def on_start_result(state, now, run, answer):
     """Handle the result of a Start.
 
@@ -311,13 +222,13 @@
             worker=run.worker,
         )
     if job.outcome is not None or task.run is not run:
-        _release_task(state, now, run)
+        release_task(state, now, run)
     elif how == "done":
         _task_done(state, now, run)
     else:
         if how == "failed":
             _task_failed(state, now, run)
-        _release_task(state, now, run)
+        release_task(state, now, run)
     _acknowledge_once_recorded(state, worker, number, job)
 
 
@@ -348,7 +259,7 @@
 def _task_done(state, now, run):
     job, task = run.job, run.task
     if run.step.long_running:
-        _release_task(state, now, run)
+        release_task(state, now, run)
         return
     if run.acked_at is not None:
         run_s = now - run.acked_at
@@ -374,9 +285,4 @@
         failures = sum(t.failures for t in job.tasks[task.key[:2]])
     queue = state.queues.get(job.spec.queue.name, job.spec.queue)
     if failures >= queue.max_attempts:
-        log("info", "job_ended", job=job.spec.id, outcome=FAILED, task=run.name)
-        job.outcome = FAILED
-        for tasks in job.tasks.values():
-            for other in tasks:
-                if other.run is not None and other is not task:
-                    request_stop(state, now, other.run)
+        fail_job(state, now, job, task, "attempts used up")
--- a/cornelward/dispatch_workers.py
+++ b/cornelward/dispatch_workers.py
@@ -1,7 +1,8 @@
 """Core: the leader's table of workers, as the registry lists them."""
 
 from . import workers as worker_table
-from .dispatch_runs import request_stop, reset_restarted_worker
+from .dispatch_runs import reset_restarted_worker
+from .dispatch_tasks import request_stop
 from .log import get_logger
 
 __all__ = [
