--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -1,17 +1,26 @@
-"""A simulated cell for the dispatcher's core: store, workers, policy service, leaders.
+"""A simulated cell for the dispatcher's core: workers, policy service and leaders.
 
 All components share one virtual clock; delays and faults come from a seeded random
 source. The simulation checks these invariants: no overcommitted worker, one run of a
-task at a time, steps in order. A gang succeeds only if all its members run together.
+task at a time, steps in order, and those of ``fixtures_crashes``. A gang succeeds only
+if all its members run together.
 """
 
 import heapq
 import itertools
 import random
-from typing import NamedTuple
+
+from fixtures_crashes import REGISTRY_DELAY_S, Crashes, allowed_cpu
+from fixtures_workers import (
+    CALL_TIMEOUT_S,
+    LONGEST_LEASE_S,
+    STOP_S,
+    FakeWorker,
+    Report,
+    Store,
+)
 
 from cornelward import advising, commits, dispatch, dispatch_runs
-from cornelward.commits import Applied, Refused, Rows, Unknown
 from cornelward.staged_jobs import (
     DONE,
     AdvicePolicy,
@@ -21,173 +30,16 @@
     decode_record,
     encode_spec,
 )
-from cornelward.workers import WorkerInfo
+from cornelward.workers import SENT, WorkerInfo
 
 LEASE_S = 6.0
-LONGEST_LEASE_S = 10.0
 UNKNOWN_LEASE_S = 23.0
-STOP_S = 0.3
 GANG_WINDOW_S = 3.0
-# A call without a response fails after this time.
-CALL_TIMEOUT_S = 0.6
 LATE_DELAY_S = (2.0, 12.0)
-
-
-class Report(NamedTuple):
-    """A worker's response to a poll."""
-
-    clock_s: float
-    born: int
-    running: list
-    ended: list
-
-
-class Store:
-    """Rows with versions; ``lost_share`` is the share of responses that are lost."""
-
-    def __init__(self, sim):
-        self.sim = sim
-        self.rows = {}
-        self.version = 0
-        self.down = False
-        self.lost_share = 0.0
-
-    def put(self, part, table, key, value):
-        self.version += 1
-        self.rows[part, table, key] = (value, self.version)
-        return self.version
-
-    def commit(self, part, expected, writes):
-        found = {(t, k): self.rows.get((part, t, k), (None, 0)) for t, k, _ in expected}
-        if any(found[t, k][1] != version for t, k, version in expected):
-            return Rows(found)
-        self.version += 1
-        for write in writes:
-            if write.value is None:
-                self.rows.pop((part, write.table, write.key), None)
-            else:
-                row = (write.value, self.version)
-                self.rows[part, write.table, write.key] = row
-        return Applied(self.version)
-
-    def call(self, part, expected, writes, on_done):
-        sim = self.sim
-        if self.down:
-            sim.after(0.01, lambda: on_done(Refused("down")))
-            return
-        lost = sim.rng.random() < self.lost_share
-        if lost and sim.rng.random() < 0.5:
-            # The transaction applies late, if its conditions still hold then.
-            late = sim.rng.uniform(1, 6)
-            sim.after(late, lambda: self.commit(part, expected, writes))
-            sim.after(CALL_TIMEOUT_S, lambda: on_done(Unknown("timeout")))
-            return
-
-        def apply():
-            result = self.commit(part, expected, writes)
-            if lost:
-                sim.after(CALL_TIMEOUT_S, lambda: on_done(Unknown("timeout")))
-            else:
-                sim.after(0.01, lambda: on_done(result))
-
-        sim.after(0.01, apply)
-
-
-class FakeWorker:
-    """A worker that follows the platform's protocol.
-
-    ``silent`` makes it unreachable; ``late_share`` is the share of requests that it
-    carries out only after their calls have failed.
-    """
-
-    def __init__(self, sim, info, drift=0.0):
-        self.sim = sim
-        self.info = info
-        self.drift = drift
-        self.silent = False
-        self.late_share = 0.0
-        self.restart(info.born)
-
-    def restart(self, born):
-        """Restart the worker, which loses its state."""
-        self.info = self.info._replace(born=born)
-        self.started_at = self.sim.now
-        self.token = 0
-        self.running = {}
-        self.closed_attempts = {}
-        self.ended = []
-        # Numbers of ended runs that became void because the lease ran out meanwhile.
-        self.void_ends = set()
-        self.number = 0
-        self.deadline = 0.0
-
-    @property
-    def clock(self):
-        return 100.0 + (self.sim.now - self.started_at) * (1 - self.drift)
-
-    def _sweep(self):
-        if self.clock > self.deadline:
-            for key in list(self.running):
-                self.end(key, "lapsed")
-            self.void_ends.update(entry[0] for entry in self.ended)
-
-    def end(self, key, how):
-        """End a run and add it to the list of ended runs."""
-        if self.running.pop(key, None) is None:
-            return
-        self.closed_attempts[key[0]] = max(self.closed_attempts.get(key[0], 0), key[1])
-        self.number += 1
-        self.ended.append((self.number, *key, how, ""))
-        self.sim.on_run_ended(self, key, how)
-
-    def start(self, effect, token):
-        self._sweep()
-        run = effect.run
-        if token < self.token:
-            return "fence"
-        self.token = token
-        if effect.deadline_s < self.clock:
-            return "late"
-        self.deadline = max(
-            self.deadline, min(effect.deadline_s, self.clock + LONGEST_LEASE_S)
-        )
-        key = (run.name, run.attempt)
-        if key in self.running:
-            return "ok"
-        if run.attempt <= self.closed_attempts.get(run.name, 0):
-            return "old"
-        self.running[key] = run.step
-        self.sim.on_run_started(self, key, run)
-        return "ok"
-
-    def stop(self, effect, token):
-        self._sweep()
-        if token < self.token:
-            return False
-        self.token = token
-        key = (effect.name, effect.attempt)
-        self.closed_attempts[effect.name] = max(
-            self.closed_attempts.get(effect.name, 0), effect.attempt
-        )
-        if key in self.running:
-            self.sim.after(STOP_S, lambda: self.end(key, "stopped"))
-        return True
-
-    def poll(self, effect, token):
-        self._sweep()
-        if token < self.token:
-            return "fence"
-        self.token = token
-        if effect.deadline_s is not None:
-            self.deadline = max(
-                self.deadline, min(effect.deadline_s, self.clock + LONGEST_LEASE_S)
-            )
-        for entry in self.ended:
-            if entry[0] <= effect.last_end and entry[0] not in self.void_ends:
-                self.sim.on_end_acknowledged(entry)
-        self.ended = [e for e in self.ended if e[0] > effect.last_end]
-        running = [(*key, "", 50) for key in self.running]
-        return Report(self.clock, self.info.born, running, list(self.ended))
+# A leader that was paused for longer holds its start requests back until it has renewed
+# its row.
+PAUSED_AFTER_S = 1.0
+RENEWAL_S = 0.03
 
 
 class Sim:
@@ -204,6 +56,15 @@
         # Ids of workers on which all runs fail.
         self.failing = set()
         self.failed_runs = 0
+        # Names of tasks under which each worker crashes, after ``crash_after_s`` or, if
+        # that is None, soon after the start; it is back under a new id if ``new_ids``.
+        self.deadly = set()
+        self.crash_after_s = None
+        self.new_ids = True
+        self.crashes = Crashes(self)
+        # Ids of the workers that the registry lists.
+        self.listed = set()
+        self.leaders = []
         self.workers = {}
         for i in range(workers):
             self.add_worker(make_worker(f"w{i}", cpu=cpu, born=1))
@@ -211,13 +72,25 @@
         self.done = set()
         self.acknowledged = set()
         self.leader = None
-        self.leaders = []
         self.token = 0
         self.approved_share = 0.7
 
     def add_worker(self, info):
         """Add a worker whose clock is up to 2% slow."""
         self.workers[info.id] = FakeWorker(self, info, self.rng.uniform(0, 0.02))
+        self.listed.add(info.id)
+
+    def next_worker_id(self):
+        """Return a new id for a worker that is back after a crash."""
+        return f"w{next(self.order)}-back"
+
+    def set_listed(self, worker_id, is_listed):
+        """Write or remove a worker's registry entry; the leaders hear of it later."""
+        change = self.listed.add if is_listed else self.listed.discard
+        change(worker_id)
+        for leader in self.leaders:
+            delay_s = self.rng.uniform(0, REGISTRY_DELAY_S)
+            self.after(delay_s, lambda leader=leader: leader.hear(worker_id))
 
     def after(self, delay, function):
         heapq.heappush(self.queue, (self.now + delay, next(self.order), function))
@@ -261,8 +134,8 @@
             dispatch.deregister_worker(leader.core, worker.info.id)
 
         def relist():
+            infos = [worker.info] if worker.info.id in self.listed else []
             for leader in self.leaders:
-                infos = [worker.info]
                 dispatch.update_workers(leader.core, self.now, infos, complete=False)
 
         self.after(seconds, relist)
@@ -285,9 +158,10 @@
         if name in self.acknowledged:
             self.violations.append(f"{name} started after its end was acknowledged")
         used = sum(step.cpu for step in worker.running.values())
-        if used > worker.info.cpu:
+        if used > allowed_cpu(worker.capacities, self.now):
             self.violations.append(
-                f"{worker.info.id} is overcommitted with {used} at {self.now:.2f}"
+                f"LIMIT: {worker.info.id} is overcommitted with {used} "
+                f"at {self.now:.2f}"
             )
         job_id, occurrence, _, _ = name.split(".")
         for before in run.step.after:
@@ -295,6 +169,7 @@
             names = {f"{job_id}.{occurrence}.{before}.{i}" for i in range(count)}
             if names - self.done:
                 self.violations.append(f"{name} started before step {before} ended")
+        self.crashes.on_run_started(worker, key)
         fails = self.rng.random() < self.fail_share or worker.info.id in self.failing
         how = "failed" if fails else "done"
         if run.step.gang:
@@ -334,6 +209,7 @@
         if how == "done":
             self.done.add(key[0])
         self.failed_runs += how == "failed"
+        self.crashes.failed_runs[key[0]] += how == "failed"
 
     def on_end_acknowledged(self, entry):
         """Check that a successor could read an acknowledged success in the store."""
@@ -371,6 +247,10 @@
         self.dead = False
         self.core = None
         self.deferred = []
+        self.stepped_at = sim.now
+        # Start requests held back after a pause; None if there was none.
+        self.held_starts = None
+        self.renewals = 0
 
     def take_over(self):
         sim = self.sim
@@ -384,7 +264,7 @@
             "unknown_lease_s": UNKNOWN_LEASE_S,
         }
         self.core = dispatch.Dispatcher(self.token, fences, cfg, sim.now)
-        infos = [w.info for w in sim.workers.values()]
+        infos = [w.info for w in sim.workers.values() if w.info.id in sim.listed]
         dispatch.update_workers(self.core, sim.now, infos, complete=True)
         advising.set_nodes(self.core.advising, ["n0", "n1"])
         rows = dict(sim.store.rows)
@@ -416,11 +296,47 @@
         core = self.core
         if self.dead or core.fenced_off:
             return
+        self._note_pause()
         dispatch.step(core, self.sim.now, self.sim.now)
         effects, core.effects = core.effects, []
         for effect in effects:
             getattr(self, "_" + type(effect).__name__.lower())(effect)
 
+    def _note_pause(self):
+        """Hold the start requests back if the leader did nothing for a while."""
+        now = self.sim.now
+        if now - self.stepped_at > PAUSED_AFTER_S:
+            self.renewals += 1
+            self.held_starts = self.held_starts or []
+            number = self.renewals
+            release = lambda: self._handle_answer(  # noqa: E731
+                lambda: self._send_held_starts(number)
+            )
+            self.sim.after(RENEWAL_S, release)
+        self.stepped_at = now
+
+    def _send_held_starts(self, number):
+        """Send the starts held back, except for runs that were stopped meanwhile."""
+        if number != self.renewals:
+            return
+        held, self.held_starts = self.held_starts, None
+        for effect in held:
+            if effect.run.state == SENT:
+                self._start(effect)
+
+    def hear(self, worker_id):
+        """Take over what the registry says of a worker."""
+
+        def update():
+            if worker_id not in self.sim.listed:
+                dispatch.deregister_worker(self.core, worker_id)
+                return
+            worker = self.sim.workers[worker_id]
+            infos = [worker.info._replace(clock_s=worker.clock)]
+            dispatch.update_workers(self.core, self.sim.now, infos, complete=False)
+
+        self._handle_answer(update)
+
     def _handle_answer(self, function):
         """Run the handler of a response; a frozen leader defers it until it resumes."""
         if self.dead or self.core.fenced_off:
@@ -434,6 +350,7 @@
     def resume(self):
         """Resume a frozen leader and handle the responses that arrived meanwhile."""
         self.frozen = False
+        self._note_pause()
         deferred, self.deferred = self.deferred, []
         for function in deferred:
             self._handle_answer(function)
@@ -453,21 +370,31 @@
         sim = self.sim
         worker = sim.workers[worker_id]
         late = sim.rng.random() < worker.late_share
-        if worker.silent:
+        if worker.is_silent():
             sim.after(CALL_TIMEOUT_S, lambda: on_done(lost_answer))
         elif late:
-            sim.after(sim.rng.uniform(*LATE_DELAY_S), call)
+            life = worker.life
+            sim.after(
+                sim.rng.uniform(*LATE_DELAY_S),
+                lambda: call() if worker.life == life else None,
+            )
             sim.after(CALL_TIMEOUT_S, lambda: on_done(lost_answer))
         else:
             latency_s = sim.rng.uniform(0.002, 0.02)
 
             def arrive():
+                if worker.is_silent():
+                    sim.after(CALL_TIMEOUT_S, lambda: on_done(lost_answer))
+                    return
                 answer = call()
                 sim.after(latency_s, lambda: on_done(answer))
 
             sim.after(latency_s, arrive)
 
     def _start(self, effect):
+        if self.held_starts is not None:
+            self.held_starts.append(effect)
+            return
         worker = self.sim.workers[effect.run.worker]
 
         def done(answer):
@@ -563,4 +490,4 @@
 
 
 ADVISED = Queue("q", "svc", 1, 4, 2.0, 1.0, AdvicePolicy(0.05, 0.001, 2.5))
-__all__ = ["ADVISED", "DONE", "Sim", "make_worker", "steps_of"]
+__all__ = ["ADVISED", "DONE", "Report", "Sim", "make_worker", "steps_of"]
