Let the stand-in's workers crash and change their capacity

Change: StandinWorker.crash (closed connections, silence, back at its address, under a new id or the same one; 421 to calls that name another instance) and resize; Cell.deadly; the cell counts crashes and checks BUDGET and LIMIT.

--- a/standins/cell.py
+++ b/standins/cell.py
@@ -3,26 +3,27 @@
 Used only by tests and tools; it serves the platform's protocol on loopback. Attributes
 inject faults. Store: ``down`` answers every call with 503, ``slow_s`` delays each call,
 ``lose_answer_rate`` is the share of transactions that are applied but not answered,
-``history_lost`` answers the feed with 410, as if its history were gone. Worker:
-``silent`` neither answers nor registers, ``fails`` ends each run as failed.
+``history_lost`` answers the feed with 410, as if its history were gone. The workers
+are in ``cell_worker``.
 """
 
 import base64
-import itertools
 import random
 import time
 from urllib.parse import parse_qs, unquote
 
 import msgspec
 
+from cornelward.commits import partition_of
 from cornelward.http_server import HttpServer
+from cornelward.staged_jobs import decode_spec
+
+from .cell_worker import LOOPBACK_ADDRESS, StandinWorker
+from .crash_rules import CrashCounts, allowed_cpu
 
 __all__ = ["ROUTE", "Cell", "StandinPolicyService", "StandinStore", "StandinWorker"]
 
-LOOPBACK_ADDRESS = ("127.0.0.1", 0)
-HEARTBEAT_S = 0.5
 PAGE_ROWS = 500
-RUN_OUTCOME = "done"
 # A route for the configuration (``Cell.configure``).
 ROUTE = {
     "name": "q",
@@ -175,138 +176,6 @@
         call.answer_json(200, {"rows": rows, **self._revision()})
 
 
-class StandinWorker:
-    """A worker: registers itself, runs tasks, ends them when its lease expires."""
-
-    def __init__(self, cell, worker_id, rack, cpu):
-        self.cell = cell
-        self.id = worker_id
-        self.labels = ["a", rack]
-        self.cpu = cpu
-        self.silent = self.fails = False
-        self.fencing_token = 0
-        self.deadline_ms = 0
-        # Numbers of the ends that were not acknowledged before the lease expired.
-        self.void_ends = set()
-        self.running = {}
-        self.closed_attempts = {}
-        self.unacknowledged_ends = []
-        self.end_numbers = itertools.count(1)
-        self.started_ms = int(time.time() * 1000)
-        self.waiting_polls = []
-        self.server = HttpServer(cell.loop, LOOPBACK_ADDRESS, self.handle)
-        # The address in the registry entry; tests may set a proxy's address.
-        self.address = self.server.address
-        self.register()
-        cell.loop.call_every(HEARTBEAT_S, self.register)
-
-    @property
-    def clock_ms(self):
-        return int(time.monotonic() * 1000)
-
-    def register(self, state="ready"):
-        """Write the registry entry; called every ``HEARTBEAT_S``."""
-        if self.silent:
-            return
-        entry = {
-            "service": self.cell.service,
-            "address": self.address,
-            "zone": "z1",
-            "version": "v1",
-            "slots": 8,
-            "state": state,
-            "capacity": {"cpu": self.cpu, "mem_mb": 65_536, "gpu": 0},
-            "labels": self.labels,
-            "clock_ms": self.clock_ms,
-            "born": self.started_ms,
-            "sequence": 1,
-        }
-        self.cell.store.put("servers", self.id, msgspec.json.encode(entry))
-
-    def handle(self, call):
-        """Serve one call; 409 if its fencing token is lower than the latest one."""
-        if self.silent:
-            return
-        body = msgspec.json.decode(call.request.body)
-        if body["fencing_token"] < self.fencing_token:
-            self._answer(call, 409, reason="fence")
-            return
-        self.fencing_token = body["fencing_token"]
-        self.check_lease()
-        self.deadline_ms = max(self.deadline_ms, body.get("deadline_ms", 0))
-        HANDLERS[call.request.path](self, call, body)
-
-    def check_lease(self):
-        """End all runs if the lease has expired."""
-        if self.clock_ms <= self.deadline_ms:
-            return
-        self.void_ends.update(end[0] for end in self.unacknowledged_ends)
-        for key in list(self.running):
-            self.end(key, "lapsed")
-
-    def _answer(self, call, status, **fields):
-        fields |= {"clock_ms": self.clock_ms, "born": self.started_ms}
-        call.answer_json(status, fields)
-
-    def start(self, call, body):
-        key = (body["task"], body["run"])
-        if key not in self.running and key[1] <= self.closed_attempts.get(key[0], 0):
-            self._answer(call, 409, reason="old")
-            return
-        if self.cell.approves is not None and not body.get("ticket"):
-            self._answer(call, 409, reason="ticket")
-            return
-        if key not in self.running:
-            self.running[key] = body
-            self.cell.on_run_started(self, key)
-            ends = "failed" if self.fails else RUN_OUTCOME
-            self.cell.loop.call_later(self.cell.run_s, lambda: self.end(key, ends))
-        self._answer(call, 200)
-
-    def stop(self, call, body):
-        name, attempt = body["task"], body["run"]
-        self.closed_attempts[name] = max(self.closed_attempts.get(name, 0), attempt)
-        self.end((name, attempt), "stopped")
-        self._answer(call, 200)
-
-    def end(self, key, outcome):
-        """End a run, if it is running, and answer the polls that wait for an end."""
-        if self.running.pop(key, None) is None:
-            return
-        self.closed_attempts[key[0]] = max(self.closed_attempts.get(key[0], 0), key[1])
-        number = next(self.end_numbers)
-        self.unacknowledged_ends.append([number, *key, outcome, ""])
-        self.cell.on_run_ended(self, key, outcome, number)
-        for call in self.waiting_polls:
-            self._answer_poll(call)
-        self.waiting_polls = []
-
-    def poll_runs(self, call, body):
-        self.unacknowledged_ends = [
-            e for e in self.unacknowledged_ends if e[0] > body["last_seen"]
-        ]
-        wait_s = body.get("wait_ms", 0) / 1000
-        if self.unacknowledged_ends or not wait_s:
-            self._answer_poll(call)
-            return
-        self.waiting_polls.append(call)
-        self.cell.loop.call_later(wait_s, lambda: self._answer_poll(call))
-
-    def _answer_poll(self, call):
-        running = [[*key, "", 50] for key in self.running]
-        if not call.answered and not self.silent:
-            self._answer(
-                call, 200, running=running, finished=list(self.unacknowledged_ends)
-            )
-
-
-HANDLERS = {
-    "/run-start": StandinWorker.start,
-    "/run-stop": StandinWorker.stop,
-    "/hold": StandinWorker.poll_runs,
-}
-
-
 class StandinPolicyService:
     """The policy service: approves the workers for which ``cell.approves`` is true."""
 
@@ -327,7 +196,8 @@
     """A platform with workers; records all starts and violations of the guarantees.
 
     ``approves(worker_id)`` decides for the policy service; with None, workers start
-    tasks without a ticket. ``starts`` lists (worker id, task, attempt).
+    tasks without a ticket. ``starts`` lists (worker id, task, attempt). Each worker
+    that starts a task for which ``deadly(task name)`` is true crashes soon afterwards.
     """
 
     def __init__(self, loop, workers=3, cpu=8_000, run_s=0.2, approves=None, seed=1):
@@ -337,8 +207,13 @@
         self.approves = approves
         self.starts = []
         self.violations = []
-        # Task whose run ended as done -> (worker, number of that end).
+        self.deadly = lambda name: False
+        self.crashes = CrashCounts()
+        # Task whose run ended as done -> (worker, life and number of that end).
         self.finished = {}
+        # Job id -> JobSpec of the jobs of which tasks have started.
+        self.specs = {}
+        self.rng = random.Random(seed)
         self.store = StandinStore(loop, seed)
         self.advice = StandinPolicyService(self)
         self.workers = {
@@ -353,19 +228,37 @@
                 self.violations.append(f"{key[0]} runs twice at once")
         if key[0] in self.finished and not self._is_void(*self.finished[key[0]]):
             self.violations.append(f"{key[0]} started after it was done")
-
-    def on_run_ended(self, worker, key, outcome, number):
+        used = sum(self._cpu_of(name) for name, _ in worker.running)
+        if used > allowed_cpu(worker.capacities, self.loop.now()):
+            self.violations.append(f"LIMIT: {worker.id} is overcommitted with {used}")
+        if self.deadly(key[0]) and self.crashes.count_start(key[0]):
+            self.violations.append(f"BUDGET: {key[0]} on {worker.id}")
+
+    def _cpu_of(self, name):
+        """Return the processors that count for a run, 0 if its job is unknown."""
+        job_id, _, step, _ = name.split(".")
+        if job_id not in self.specs:
+            row = self.store.rows.get(("jobs", partition_of(job_id), job_id))
+            if row is None:
+                return 0
+            self.specs[job_id] = decode_spec(row[0])
+        step = self.specs[job_id].steps[int(step)]
+        return 0 if step.backfill else step.cpu
+
+    def on_run_ended(self, worker, key, outcome, end):
+        """Note the end of a run; ``end`` is the worker's life and the end's number."""
         if outcome == "done":
-            self.finished[key[0]] = (worker, number)
+            self.finished[key[0]] = (worker, end)
 
-    def _is_void(self, worker, number):
+    def _is_void(self, worker, end):
         """Return whether the end of a run is void, so that the task may run again.
 
         By the platform's rules an end is void if the worker's lease expired before the
-        end was acknowledged, because nobody could learn of it.
+        end was acknowledged, because nobody could learn of it. So is one that was not
+        acknowledged when the worker crashed.
         """
         worker.check_lease()
-        return number in worker.void_ends
+        return end in worker.void_ends
 
     def configure(self, version, routes):
         """Write the operators' configuration."""
--- a/tests/fixtures_crashes.py
+++ b/tests/fixtures_crashes.py
@@ -7,55 +7,41 @@
 """
 
 from collections import Counter
-from itertools import pairwise
 
-__all__ = ["BACK_S", "ENTRY_EXPIRES_S", "Crashes", "allowed_cpu", "live_workers"]
+from standins.crash_rules import BACK_S, CRASH_DELAY_S, CrashCounts
+
+__all__ = ["Crashes", "live_workers"]
 
-# How long a worker that crashed under a task answers nothing.
-BACK_S = (3.0, 3.5)
-CRASH_DELAY_S = (0.01, 0.04)
-# A crashed worker's registry entry is removed after this time.
-ENTRY_EXPIRES_S = 4.5
 # Leaders hear of a change in the registry within this time.
 REGISTRY_DELAY_S = 2.0
-MAX_CRASHES = 3
-MAX_STARTS_MORE = 3
-# A start may exceed a capacity that shrank within this time.
-SHRINK_GRACE_S = 4.5
 # A job may be shown as failed if a task of it was on so many crashed workers.
 CRASHES_TO_FAIL = 2
 
 
-class Crashes:
-    """Counts of a cell's crashes.
+class Crashes(CrashCounts):
+    """Counts of a cell's crashes, and the checks.
 
-    ``by_task`` counts for each task the workers that crashed while a run of it was on
-    them; ``deadly`` the crashes caused by deadly tasks; ``broken_runs`` the runs of
-    other tasks that ended with a crash.
+    ``broken_runs`` counts the runs of tasks that are not deadly and ended by a crash.
     """
 
     def __init__(self, sim):
+        super().__init__()
         self.sim = sim
-        self.by_task = Counter()
-        self.deadly = 0
         self.broken_runs = 0
         self.failed_runs = Counter()
-        self._starts_more = Counter()
 
     def on_crash(self, worker):
-        for name, _ in worker.running:
-            self.by_task[name] += 1
-            self.broken_runs += name not in self.sim.deadly
+        names = [name for name, _ in worker.running]
+        self.add_crash(names)
+        self.broken_runs += sum(name not in self.sim.deadly for name in names)
 
     def on_run_started(self, worker, key):
         """Check the rule BUDGET and schedule the crash under a deadly task."""
         sim, name = self.sim, key[0]
         if name not in sim.deadly:
             return
-        if self.by_task[name] >= MAX_CRASHES:
-            self._starts_more[name] += 1
-            if self._starts_more[name] == MAX_STARTS_MORE:
-                sim.violations.append(f"BUDGET: {name} at {sim.now:.2f}")
+        if self.count_start(name):
+            sim.violations.append(f"BUDGET: {name} at {sim.now:.2f}")
         life = worker.life
 
         def crash():
@@ -88,20 +74,6 @@
             )
 
 
-def allowed_cpu(capacities, now):
-    """Return the processors that a start may bring into use.
-
-    ``capacities`` is [(since, cpu)]. Each figure that held within the grace period
-    counts, as the leader may not have heard of a later one.
-    """
-    held = [
-        cpu
-        for (_, cpu), (until, _) in pairwise(capacities)
-        if now - until <= SHRINK_GRACE_S
-    ]
-    return max([*held, capacities[-1][1]])
-
-
 def live_workers(sim):
     """Return the workers that are neither crashed nor replaced."""
     return [w for w in sim.workers.values() if not (w.down or w.gone)]
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -10,7 +10,7 @@
 import itertools
 import random
 
-from fixtures_crashes import REGISTRY_DELAY_S, Crashes, allowed_cpu
+from fixtures_crashes import REGISTRY_DELAY_S, Crashes
 from fixtures_workers import (
     CALL_TIMEOUT_S,
     LONGEST_LEASE_S,
@@ -31,6 +31,7 @@
     encode_spec,
 )
 from cornelward.workers import SENT, WorkerInfo
+from standins.crash_rules import allowed_cpu
 
 LEASE_S = 6.0
 UNKNOWN_LEASE_S = 23.0
--- a/tests/fixtures_node.py
+++ b/tests/fixtures_node.py
@@ -30,6 +30,7 @@
         self.client = HttpClient(self.loop)
         self.platform = None
         self.nodes = []
+        self.longest_lease_s = 6.0
 
     def start(self, nodes=2, route=ROUTE, **options):
         """Start the platform and the nodes; wait for a leader and the configuration."""
@@ -55,7 +56,7 @@
             status_address=free_address(),
             store_address=self.platform.store.address,
             advice_address=self.platform.advice.server.address,
-            longest_lease_s=6.0,
+            longest_lease_s=self.longest_lease_s,
             stop_s=0.4,
             cores=2.0,
             link_mbps=1_000.0,
--- a/tests/fixtures_workers.py
+++ b/tests/fixtures_workers.py
@@ -2,10 +2,9 @@
 
 from typing import NamedTuple
 
-from fixtures_crashes import ENTRY_EXPIRES_S
-
 from cornelward.commits import Applied, Refused, Rows, Unknown
 from cornelward.staged_jobs import FAILED
+from standins.crash_rules import ENTRY_EXPIRES_S
 
 __all__ = [
     "CALL_TIMEOUT_S",
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -6,12 +6,13 @@
 """
 
 import pytest
-from fixtures_crashes import BACK_S, live_workers
+from fixtures_crashes import live_workers
 from fixtures_dispatch import ADVISED, Sim, make_worker, steps_of
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from cornelward import dispatch
+from standins.crash_rules import BACK_S
 
 SEEDS = range(12)
 JOBS = 10
