Contain tasks that crash their workers

Cause: nothing counted crashes. Only ends `failed` are attempts, and a run that was gone with its worker was placed again without limit. Nor did a leader know a crash from a silent worker: a poll answered by another life of the machine (421) counted as failed, and a successor did not know the address of a worker that the registry no longer listed.

Change: a poll or start answered by another life makes the worker's runs void at once; records name the address and birth of the workers of runs, so that a successor finds out, too. Each run on a crashed worker counts a crash of its task, in the record, before its next start. A job with such tasks starts them on one worker at a time, where nothing else starts meanwhile (a trial).

Why it works: the count is in the row that a successor reads before it starts anything; a trial separates a deadly task from the some ten innocent ones that shared its first crash.

The order in which workers are polled, and the order of approved workers, no longer depend on the hash seed, so that the schedules repeat. Records of this release cannot be read by earlier ones; earlier records can be read.

--- a/cornelward/advising.py
+++ b/cornelward/advising.py
@@ -64,15 +64,15 @@
 class Tickets:
     """What the policy service answered about a step.
 
-    ``asked`` and ``approved`` are sets of worker ids; ``call_ids`` is the set of the
-    outstanding calls.
+    ``asked`` is a set of worker ids and ``approved`` a dict of them in the order of the
+    answers; ``call_ids`` is the set of the outstanding calls.
     """
 
     __slots__ = ("approved", "asked", "call_ids", "ticket_by_worker", "waits_for")
 
     def __init__(self):
         self.asked = set()
-        self.approved = set()
+        self.approved = {}
         # Worker id -> (ticket, time until which the ticket may be used).
         self.ticket_by_worker = {}
         self.call_ids = set()
@@ -238,7 +238,7 @@
     # arrived here.
     until = now + call.job.spec.queue.advice.valid_s - TICKET_MARGIN_S
     for worker, ticket in approved:
-        tickets.approved.add(worker)
+        tickets.approved[worker] = True
         tickets.ticket_by_worker[worker] = (ticket, until)
     return call
 
--- a/cornelward/capacity_index.py
+++ b/cornelward/capacity_index.py
@@ -6,9 +6,9 @@
 
 from sortedcontainers import SortedList
 
-from .workers import free_capacity, is_usable
+from .workers import free_capacity, is_in_trial, is_usable
 
-__all__ = ["FreeCapacity", "is_slow", "refresh", "sort_key"]
+__all__ = ["FreeCapacity", "close_worker", "is_slow", "refresh", "sort_key"]
 
 # A worker is slow if its slowness is more than this multiple of the median; slow
 # workers are used last.
@@ -87,8 +87,8 @@
     for worker in changed:
         _remove_worker(capacity, worker.info.id)
         _update_askable(capacity, worker)
-        # A worker that is avoided for a while becomes usable by itself.
-        worker.changed = now < worker.avoid_until
+        # A worker that is avoided or in trial for a while becomes usable by itself.
+        worker.changed = now < worker.avoid_until or is_in_trial(worker)
         if is_usable(worker, now):
             usable.append(worker)
     median = _median_slowness([*capacity.workers.values(), *usable])
@@ -120,6 +120,12 @@
         order.discard(key)
 
 
+def close_worker(capacity, worker):
+    """Place nothing more on a worker in this pass."""
+    _remove_worker(capacity, worker.info.id)
+    worker.changed = True
+
+
 def _update_askable(capacity, worker):
     info = worker.info
     ids = capacity.askable.setdefault(info.service, {})
--- /dev/null
+++ b/cornelward/crash_trials.py
@@ -0,0 +1,62 @@
+"""Core: places the tasks of jobs under which workers have crashed.
+
+Such a task is a suspect. A job with suspects starts tasks on one worker at a time (a
+gang on as few as it needs), and no other job starts tasks there until the trial has
+ended (``workers.is_in_trial``). So a further crash breaks few runs and shows which job
+is the cause, and a step whose tasks all crash their workers takes down one more.
+"""
+
+from . import planning
+from .capacity_index import close_worker
+from .workers import is_in_trial
+
+__all__ = ["begin", "fit_suspects", "has_suspects", "tasks_to_place"]
+
+# Largest share of the usable workers that may be in trial; one worker always may.
+MAX_TRIAL_SHARE = 0.25
+
+
+def has_suspects(tasks):
+    """Return whether a worker has crashed under one of the tasks."""
+    return any(task.crashes for task in tasks)
+
+
+def _has_trial(job):
+    job.trial_workers = [worker for worker in job.trial_workers if is_in_trial(worker)]
+    return any(
+        run.job is job for worker in job.trial_workers for run in worker.trial_runs
+    )
+
+
+def tasks_to_place(job, tasks):
+    """Return which placeable tasks of a step may be placed now; suspects come first."""
+    if _has_trial(job):
+        return []
+    suspects = [task for task in tasks if task.crashes]
+    if not suspects or job.spec.steps[suspects[0].key[1]].gang:
+        return tasks
+    return suspects
+
+
+def fit_suspects(workers, capacity, candidate, service):
+    """Return Placements for the suspects of a step, if another trial may begin now.
+
+    ``workers`` are all workers that the leader knows.
+    """
+    in_trial = sum(is_in_trial(worker) for worker in workers)
+    if in_trial >= max(1, MAX_TRIAL_SHARE * (len(capacity.workers) + in_trial)):
+        return []
+    if candidate.job.spec.steps[candidate.key[1]].gang:
+        return planning.fit_gang(capacity, candidate, service)
+    return planning.fit_on_one_worker(capacity, candidate, service)
+
+
+def begin(capacity, job, placements):
+    """Begin the trial of a job whose suspects were placed."""
+    for placement in placements:
+        worker, run = placement.worker, placement.task.run
+        if worker not in job.trial_workers:
+            worker.trial_runs = []
+            job.trial_workers.append(worker)
+            close_worker(capacity, worker)
+        worker.trial_runs.append(run)
--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -94,10 +94,12 @@
         # Jobs that run at scheduled times: id -> Job.
         self.recurring_jobs = {}
         # Ids of workers that may have to be polled before the next sweep.
-        self.poll_due = set()
+        self.poll_due = {}
         # Estimate of the commit time: decaying maximum of the recent ones, in seconds.
         self.commit_time_s = 0.0
         self.sweep_at = now
+        # Crashes of workers under runs, and jobs that failed by them, in this term.
+        self.crashed_runs = self.jobs_failed_by_crashes = 0
         self.effects = []
         self.needs_plan = True
         # The next planning pass is not made before this time.
@@ -152,19 +154,32 @@
     """Add a job from the record that a former leader kept of it."""
     job = jobs.new_job(spec, version, accepted_at)
     _add_job(state, job)
+    lives = record.lives or {}
     for task, worker_id in jobs.restore_record(job, record, record_version):
         worker = state.workers.get(worker_id)
         if worker is None:
             # The worker is no longer registered, but its lease may still hold.
-            info = unregistered_worker(worker_id, spec.queue.service)
+            address, born = lives.get(worker_id, ("", 0))
+            info = unregistered_worker(worker_id, spec.queue.service, address, born)
             worker = worker_table.new_worker(info, now, state.unknown_lease_s)
             worker.registered = False
             state.workers[worker_id] = worker
         name = jobs.task_name(job, task)
+        address, born = lives.get(worker_id, ("", worker.info.born))
         run = worker_table.Run(
-            job, task, name, task.attempt, worker_id, worker_table.ADOPTED
+            job,
+            task,
+            name,
+            task.attempt,
+            worker_id,
+            worker_table.ADOPTED,
+            address,
+            born,
         )
         run.checkpoint = task.checkpoint
+        if task.crashes:
+            worker.trial_runs.append(run)
+            job.trial_workers.append(worker)
         task.run = run if task.state == PLACED else None
         worker_table.add_run(worker, run)
     if job.outcome is not None:
@@ -291,7 +306,7 @@
     if worker is None or worker.info.born != born:
         return
     worker.unrecorded_ends.pop(number, None)
-    state.poll_due.add(worker_id)
+    state.poll_due[worker_id] = True
     first_unrecorded = min(worker.unrecorded_ends, default=None)
     worker.last_end_recorded = (
         worker.last_end_seen if first_unrecorded is None else first_unrecorded - 1
--- /dev/null
+++ b/cornelward/dispatch_crashes.py
@@ -0,0 +1,125 @@
+"""Core: workers that crashed, and the tasks under which they did.
+
+A task may crash each worker that starts it. Which of the runs on a crashed worker is
+the cause is not known, so each of these tasks becomes a suspect: its job's tasks are
+then placed on one worker at a time, on which nothing else starts until they have run
+for a while (a trial). A worker that crashes during a trial shows which job is the
+cause.
+"""
+
+from .dispatch_tasks import discard_run, fail_job, request_stop
+from .log import get_logger
+from .workers import RECORDING, is_in_trial, runs_on_trial
+
+__all__ = ["GONE", "note_crash", "on_worker_gone"]
+
+log = get_logger("dispatch_crashes")
+
+# Result of a request to a worker whose address another life of the machine has.
+GONE = "gone"
+
+# A job fails by the second crash under one of its tasks if that is during its trial and
+# the task never ran for longer than ``QUICK_CRASH_S``. Otherwise it fails by the fourth
+# one, as tasks may also lose several workers by chance, or by the fifth if the workers
+# had not confirmed the starts.
+QUICK_CRASH_S = 1.0
+QUICK_CRASHES = 2
+MAX_CRASHES = 4
+MAX_UNCONFIRMED_CRASHES = 5
+# Workers that are lost within this time of each other have a common cause.
+COINCIDENCE_S = 0.5
+# A long-running task that ran for this long did not crash its worker.
+SURVIVED_S = 30.0
+
+
+def on_worker_gone(state, now, worker):
+    """Handle that a worker's address is now that of another life of its machine.
+
+    Nothing of the former life is left, so its runs need not wait for its lease. A
+    worker that left as announced has not crashed.
+    """
+    if not worker.is_gone:
+        log("warning", "worker_gone", worker=worker.info.id, runs=len(worker.runs))
+    worker.is_gone = True
+    worker.registered = False
+    worker.changed = True
+    worker.unrecorded_ends.clear()
+    has_crashed = worker.leaves_at is None
+    on_trial = runs_on_trial(worker)
+    for run in list(worker.runs.values()):
+        if run.state == RECORDING:
+            # Its start was never sent.
+            request_stop(state, now, run)
+            continue
+        if has_crashed:
+            note_crash(state, now, worker, run, on_trial)
+        discard_run(state, now, run, "its worker is gone")
+    state.needs_plan = True
+
+
+def note_crash(state, now, worker, run, on_trial):
+    """Count a crash of ``worker`` under ``run``; the job may fail by it.
+
+    The count is recorded with the job before any later start of the task.
+    """
+    job, task = run.job, run.task
+    if task.run is not run or job.outcome is not None:
+        return
+    ran_s = _observed_run_s(worker, run)
+    if run.step.long_running and ran_s >= SURVIVED_S:
+        return
+    task.crashes += 1
+    task.confirmed_crashes += run.acked_at is not None
+    task.ran_s = max(task.ran_s, ran_s)
+    job.has_crashes = True
+    state.crashed_runs += 1
+    is_conclusive = (
+        run in on_trial
+        and run.acked_at is not None
+        and not _others_were_lost(state, worker)
+    )
+    log(
+        "warning",
+        "worker_crashed_under_task",
+        task=run.name,
+        run=run.attempt,
+        worker=worker.info.id,
+        crashes=task.crashes,
+        ran_s=round(ran_s, 2),
+        conclusive=is_conclusive,
+    )
+    if task.crashes >= _allowed_crashes(task, is_conclusive):
+        state.jobs_failed_by_crashes += 1
+        fail_job(state, now, job, task, f"{task.crashes} workers crashed under it")
+
+
+def _observed_run_s(worker, run):
+    """Return for how long the run was seen on the worker.
+
+    A run whose start was not answered, or not to this leader, counts as a long one: it
+    may not have been on the worker.
+    """
+    if run.acked_at is None or worker.answered_at is None:
+        return QUICK_CRASH_S + 1.0
+    return max(0.0, worker.answered_at - run.acked_at)
+
+
+def _others_were_lost(state, worker):
+    """Return whether workers that are not in trial were lost at about the same time."""
+    return any(
+        other is not worker
+        and other.failed_polls
+        and other.answered_at is not None
+        and abs(other.answered_at - worker.answered_at) <= COINCIDENCE_S
+        and not is_in_trial(other)
+        for other in state.workers.values()
+        if worker.answered_at is not None
+    )
+
+
+def _allowed_crashes(task, is_conclusive):
+    if is_conclusive and task.ran_s <= QUICK_CRASH_S:
+        return QUICK_CRASHES
+    if task.confirmed_crashes >= QUICK_CRASHES:
+        return MAX_CRASHES
+    return MAX_UNCONFIRMED_CRASHES
--- a/cornelward/dispatch_plan.py
+++ b/cornelward/dispatch_plan.py
@@ -6,7 +6,14 @@
 import heapq
 from typing import NamedTuple
 
-from . import advising, capacity_index, objectives, planning, queue_index
+from . import (
+    advising,
+    capacity_index,
+    crash_trials,
+    objectives,
+    planning,
+    queue_index,
+)
 from . import staged_jobs as jobs
 from . import workers as worker_table
 from .dispatch_tasks import mark_dirty
@@ -77,19 +84,15 @@
     if queue.advice is not None:
         allowed = advising.valid_tickets(job, key, now, record_time_s(state))
     tasks = queue_index.placeable_tasks(job, key)
+    if job.has_crashes:
+        tasks = crash_trials.tasks_to_place(job, tasks)
+        if not tasks:
+            return 0
     candidate = planning.Candidate(job, key, tasks, allowed)
     gang = job.spec.steps[key[1]].gang
-    placed = []
-    if not planning.fits_nowhere(capacity, candidate, queue.service):
-        fit = planning.fit_gang if gang else planning.fit_tasks
-        placed = fit(capacity, candidate, queue.service) or []
-    for placement in placed:
-        _place(state, now, job, placement)
-    if placed:
-        job.started = True
-        mark_dirty(state, job)
-        if len(placed) == len(tasks) and queue.advice is not None:
-            _schedule_next_steps(state, now, job, key)
+    placed = _place_tasks(state, this_pass, candidate, queue.service)
+    if placed and len(placed) == len(tasks) and queue.advice is not None:
+        _schedule_next_steps(state, now, job, key)
     if gang and not placed:
         tickets = job.tickets.get(key)
         known = queue.advice is None or (tickets is not None and tickets.approved)
@@ -103,6 +106,30 @@
     return len(placed)
 
 
+def _place_tasks(state, this_pass, candidate, service):
+    """Place the tasks of a candidate that fit; returns their Placements."""
+    now, capacity = this_pass
+    job, key, tasks, _ = candidate
+    if planning.fits_nowhere(capacity, candidate, service):
+        return []
+    are_suspects = crash_trials.has_suspects(tasks)
+    if are_suspects:
+        workers = state.workers.values()
+        placed = crash_trials.fit_suspects(workers, capacity, candidate, service)
+    elif job.spec.steps[key[1]].gang:
+        placed = planning.fit_gang(capacity, candidate, service)
+    else:
+        placed = planning.fit_tasks(capacity, candidate, service)
+    for placement in placed or ():
+        _place(state, now, job, placement)
+    if placed:
+        job.started = True
+        mark_dirty(state, job)
+    if are_suspects:
+        crash_trials.begin(capacity, job, placed or ())
+    return placed or []
+
+
 def _log_wait(candidate, missing, why):
     """Log why tasks of a long-running step wait, each time the reason changes."""
     job, key, tasks, allowed = candidate
@@ -183,7 +210,14 @@
     task.attempt, task.state = attempt, PLACED
     name = jobs.task_name(job, task)
     run = worker_table.Run(
-        job, task, name, attempt, worker.info.id, worker_table.RECORDING
+        job,
+        task,
+        name,
+        attempt,
+        worker.info.id,
+        worker_table.RECORDING,
+        worker.info.address,
+        worker.info.born,
     )
     run.checkpoint = task.checkpoint
     if gang:
@@ -191,7 +225,7 @@
         run.checkpoint = next((t.checkpoint for t in step_tasks if t.checkpoint), "")
     task.run = run
     worker_table.add_run(worker, run)
-    state.poll_due.add(worker.info.id)
+    state.poll_due[worker.info.id] = True
     mark_dirty(state, job, ("start", run, placement.ticket))
 
 
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -1,6 +1,7 @@
 """Core: updates runs from the responses of workers."""
 
 from . import objectives, workers
+from .dispatch_crashes import GONE, note_crash, on_worker_gone
 from .dispatch_effects import Stop
 from .dispatch_tasks import (
     discard_run,
@@ -12,7 +13,7 @@
 from .log import get_logger
 from .queue_index import mark_changed
 from .staged_jobs import COMPLETED, DONE, is_job_done
-from .workers import ACTIVE, ADOPTED, SENT
+from .workers import ACTIVE, ADOPTED, SENT, runs_on_trial
 
 __all__ = [
     "on_poll_result",
@@ -75,10 +76,9 @@
         run.job.tickets.pop(run.task.key[:2], None)
     else:
         workers.avoid(worker, now)
-    if answer == "gone":
-        worker.answered_at = None
-        worker.changed = True
     discard_run(state, now, run, answer)
+    if answer == GONE:
+        on_worker_gone(state, now, worker)
 
 
 def on_stop_result(state, now, worker_id, name, attempt, acknowledged):
@@ -92,14 +92,18 @@
 def on_poll_result(state, now, worker_id, sent_at, report):
     """Handle the result of a Poll; ``report`` is None if there was no response.
 
-    Otherwise it has ``clock_s``, ``born``, ``running`` [(task, attempt, checkpoint,
-    progress)] and ``ended`` [(number, task, attempt, how, checkpoint)].
+    It is ``GONE`` if another life of the machine answered. Otherwise it has
+    ``clock_s``, ``born``, ``running`` [(task, attempt, checkpoint, progress)] and
+    ``ended`` [(number, task, attempt, how, checkpoint)].
     """
     worker = state.workers.get(worker_id)
     if worker is None:
         return
     worker.poll_in_flight = False
-    state.poll_due.add(worker_id)
+    state.poll_due[worker_id] = True
+    if report == GONE:
+        on_worker_gone(state, now, worker)
+        report = None
     if report is not None and _is_from_earlier_life(worker, sent_at, report):
         log("info", "report_outdated", worker=worker_id, born=report.born)
         report = None
@@ -115,6 +119,8 @@
         longest_s = state.cfg["longest_lease_s"]
         workers.bound_lease(worker, now, longest_s)
     worker.failed_polls = 0
+    worker.is_gone = False
+    on_trial = runs_on_trial(worker)
     worker.answered_at = now
     if report.born != worker.info.born:
         reset_restarted_worker(worker, now, report.born)
@@ -123,7 +129,7 @@
     _update_listed_runs(state, now, worker, report.running)
     # A list of that length may leave out later ends.
     if len(report.ended) < MAX_LISTED_ENDS:
-        _discard_unlisted_runs(state, now, worker, sent_at, report.running)
+        _discard_unlisted_runs(state, now, worker, sent_at, report.running, on_trial)
     if not worker.unrecorded_ends:
         worker.last_end_recorded = worker.last_end_seen
 
@@ -171,11 +177,13 @@
         state.needs_plan = worker.changed = True
 
 
-def _discard_unlisted_runs(state, now, worker, sent_at, running):
+def _discard_unlisted_runs(state, now, worker, sent_at, running, on_trial):
     """Discard the runs that the report would have listed."""
     present = {(name, attempt) for name, attempt, _, _ in running}
     for key, run in list(worker.runs.items()):
         if key not in present and _report_covers_run(run, sent_at):
+            if run.born != worker.info.born:
+                note_crash(state, now, worker, run, on_trial)
             discard_run(state, now, run, "not listed by the worker")
 
 
--- a/cornelward/dispatch_workers.py
+++ b/cornelward/dispatch_workers.py
@@ -82,8 +82,8 @@
         log("info", "worker_unlisted", worker=worker_id, runs=len(worker.runs))
 
 
-def unregistered_worker(worker_id, service):
+def unregistered_worker(worker_id, service, address="", born=0):
     """Return the WorkerInfo of a worker that the registry does not list."""
     return worker_table.WorkerInfo(
-        worker_id, service, "", "", "", (), 0, 0, 0, True, 0.0, 0, 0.0
+        worker_id, service, address, "", "", (), 0, 0, 0, True, 0.0, born, 0.0
     )
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -4,6 +4,7 @@
 
 from . import dispatch, dispatch_runs, heartbeats, node_heartbeats, node_starts
 from .commits import Applied, Rows
+from .dispatch_crashes import GONE
 from .dispatch_effects import Start
 from .log import get_logger
 from .messages import AdviceRequest, LeaderResigned
@@ -281,7 +282,7 @@
     def done(report):
         if term.closed:
             return
-        if report is not None and not hasattr(report, "running"):
+        if report not in (None, GONE) and not hasattr(report, "running"):
             node.deps.lose_leadership(
                 node, f"a worker refused a poll of this leader: {report}"
             )
--- a/cornelward/node_status.py
+++ b/cornelward/node_status.py
@@ -71,6 +71,14 @@
             ("pending_jobs", "Jobs without a started task, on the leader."),
             ("workers", "Workers known to the leader."),
             ("runs", "Task runs on workers, on the leader."),
+            (
+                "crashed_runs",
+                "Runs lost in crashes of workers, in this term of the leader.",
+            ),
+            (
+                "jobs_failed_by_crashes",
+                "Jobs failed as workers crash under their tasks, in this term.",
+            ),
             (
                 "store_failing_seconds",
                 "Seconds since the store stopped answering; 0 while it answers.",
@@ -110,6 +118,9 @@
     gauges["workers"].set(len(dispatcher.workers) if dispatcher else 0)
     runs = sum(len(w.runs) for w in dispatcher.workers.values()) if dispatcher else 0
     gauges["runs"].set(runs)
+    gauges["crashed_runs"].set(dispatcher.crashed_runs if dispatcher else 0)
+    failed = dispatcher.jobs_failed_by_crashes if dispatcher else 0
+    gauges["jobs_failed_by_crashes"].set(failed)
     gauges["store_failing_seconds"].set(node.health.failing_s(node.deps.now()))
 
 
--- a/cornelward/planning.py
+++ b/cornelward/planning.py
@@ -18,6 +18,7 @@
     "FreeCapacity",
     "Placement",
     "fit_gang",
+    "fit_on_one_worker",
     "fit_tasks",
     "fits_nowhere",
     "reserve_for_gang",
@@ -231,6 +232,21 @@
     return placed
 
 
+def fit_on_one_worker(capacity, candidate, service):
+    """Return Placements on the worker with the fewest runs that has room for one."""
+    step = candidate.job.spec.steps[candidate.key[1]]
+    slots = slots_by_worker(capacity, candidate, service)
+    if not slots:
+        return []
+    worker, count, ticket = min(
+        slots, key=lambda slot: (len(slot[0].runs), slot[0].info.id)
+    )
+    tasks = candidate.tasks[:count]
+    for _ in tasks:
+        _consume(capacity, worker, demand_of(step))
+    return [Placement(task, worker, ticket) for task in tasks]
+
+
 def _preference(capacity, step, worker):
     """Return the sort key of a worker for a task; the lowest key is preferred.
 
--- a/cornelward/platform/worker_commands.py
+++ b/cornelward/platform/worker_commands.py
@@ -53,8 +53,8 @@
       no response), ``gone`` (the executor has restarted), ``status N`` for another HTTP
       status, or the reason of the rejection;
     - ``stop``: whether the stop was acknowledged;
-    - ``poll``: a PollReport, the reason of the rejection (``fence`` for an outdated
-      token), or None if the call failed.
+    - ``poll``: a PollReport, ``gone``, the reason of the rejection (``fence`` for an
+      outdated token), or None if the call failed.
     """
 
     start: Any
@@ -225,6 +225,8 @@
         def finish(result):
             if result.status == 409:
                 on_done(_rejection_reason(result))
+            elif result.status == 421:
+                on_done("gone")
             else:
                 on_done(_decode_report(result) if result.status == 200 else None)
 
--- a/cornelward/staged_jobs.py
+++ b/cornelward/staged_jobs.py
@@ -167,13 +167,27 @@
 class Task:
     """One task of one occurrence; ``attempt`` is the number of its latest start."""
 
-    __slots__ = ("attempt", "checkpoint", "failures", "key", "run", "state")
+    __slots__ = (
+        "attempt",
+        "checkpoint",
+        "confirmed_crashes",
+        "crashes",
+        "failures",
+        "key",
+        "ran_s",
+        "run",
+        "state",
+    )
 
     def __init__(self, key):
         self.key = key
         self.state = WAITING
         self.attempt = 0
         self.failures = 0
+        # Workers that crashed under the task, those of them that had confirmed its
+        # start, and the longest time that it ran on any.
+        self.crashes = self.confirmed_crashes = 0
+        self.ran_s = 0.0
         self.checkpoint = ""
         # The Run while the task is placed, else None.
         self.run = None
@@ -193,6 +207,7 @@
         "deadline",
         "dirty",
         "entry",
+        "has_crashes",
         "outcome",
         "ready_steps",
         "record_version",
@@ -202,6 +217,7 @@
         "started",
         "tasks",
         "tickets",
+        "trial_workers",
         "version",
     )
 
@@ -220,6 +236,10 @@
         # Whether a start was recorded, and whether a worker has reported a run.
         self.started = self.run_seen = False
         self.dirty = False
+        # Whether a worker has crashed under one of its tasks, and the workers that the
+        # tasks were placed on since.
+        self.has_crashes = False
+        self.trial_workers = []
         # Address of the node that accepted the job and has its payload, if known.
         self.entry = None
         # Effects to carry out once the current state is recorded.
@@ -288,20 +308,21 @@
 
 def encode_record(job):
     """Return the row value of the job's record: outcome and state of its tasks."""
-    rows = [
-        (
-            *t.key,
-            t.state,
-            t.attempt,
-            t.run.worker if t.run else "",
-            t.failures,
-            t.checkpoint,
-        )
-        for tasks in job.tasks.values()
-        for t in tasks
-        if t.attempt or t.state != WAITING
-    ]
-    data = msgspec.msgpack.encode((job.outcome or "", job.started, rows))
+    rows, lives = [], {}
+    for tasks in job.tasks.values():
+        for t in tasks:
+            if not t.attempt and t.state == WAITING:
+                continue
+            worker = ""
+            if t.run is not None:
+                worker = t.run.worker
+                lives[worker] = (t.run.address, t.run.born)
+            row = (*t.key, t.state, t.attempt, worker, t.failures, t.checkpoint)
+            if t.crashes:
+                row = (*row, t.crashes, t.confirmed_crashes, t.ran_s)
+            rows.append(row)
+    record = (job.outcome or "", job.started, rows, lives)
+    data = msgspec.msgpack.encode(record)
     return zlib.compress(data, 1) if len(data) >= COMPRESSED_BYTES else data
 
 
@@ -309,12 +330,41 @@
 # which does not begin a MessagePack array.
 COMPRESSED_BYTES = 200
 ZLIB_MARK = b"\x78"
-Record = tuple[str, bool, list[tuple[int, int, int, str, int, str, int, str]]]
+
+
+class TaskRecord(NamedTuple):
+    """A task in a record; ``worker`` is empty if it has no run."""
+
+    occurrence: int
+    step: int
+    index: int
+    state: str
+    attempt: int
+    worker: str
+    failures: int
+    checkpoint: str
+    crashes: int = 0
+    confirmed_crashes: int = 0
+    ran_s: float = 0.0
+
+
+class Record(NamedTuple):
+    """A job's record; ``lives`` maps the workers of runs to (address, born).
+
+    Records of earlier releases have no ``lives``.
+    """
+
+    outcome: str
+    started: bool
+    tasks: list[TaskRecord]
+    lives: dict[str, tuple[str, int]] | None = None
+
+
 _record_decoder = msgspec.msgpack.Decoder(Record)
 
 
 def decode_record(data):
-    """Return (outcome, started, rows) of a record, or None if it is invalid."""
+    """Return the Record in a row value, or None if it is invalid."""
     try:
         if data[:1] == ZLIB_MARK:
             data = zlib.decompress(data)
@@ -328,17 +378,20 @@
 
     Returns [(task, worker id)] for the tasks that may have a run on a worker.
     """
-    outcome, job.started, rows = record
-    job.outcome = outcome or None
-    job.recorded_state = outcome or (RUNNING if job.started else QUEUED)
+    job.started = record.started
+    job.outcome = record.outcome or None
+    job.recorded_state = record.outcome or (RUNNING if job.started else QUEUED)
     job.record_version = version
     placed = []
-    for occurrence, step, index, state, attempt, worker, failures, checkpoint in rows:
-        open_occurrence(job, occurrence)
-        task = job.tasks[occurrence, step][index]
-        task.state, task.attempt = state, attempt
-        task.failures, task.checkpoint = failures, checkpoint
-        job.run_seen = job.run_seen or state == DONE or failures > 0
-        if state == PLACED or worker:
-            placed.append((task, worker))
+    for row in record.tasks:
+        open_occurrence(job, row.occurrence)
+        task = job.tasks[row.occurrence, row.step][row.index]
+        task.state, task.attempt = row.state, row.attempt
+        task.failures, task.checkpoint = row.failures, row.checkpoint
+        task.crashes, task.ran_s = row.crashes, row.ran_s
+        task.confirmed_crashes = row.confirmed_crashes
+        job.has_crashes = job.has_crashes or row.crashes > 0
+        job.run_seen = job.run_seen or row.state == DONE or row.failures > 0
+        if row.state == PLACED or row.worker:
+            placed.append((task, row.worker))
     return placed
--- a/cornelward/workers.py
+++ b/cornelward/workers.py
@@ -20,9 +20,11 @@
     "Worker",
     "WorkerInfo",
     "free_capacity",
+    "is_in_trial",
     "is_on_probation",
     "is_usable",
     "new_worker",
+    "runs_on_trial",
     "update_clock",
     "worker_time",
 ]
@@ -69,7 +71,9 @@
 
     __slots__ = (
         "acked_at",
+        "address",
         "attempt",
+        "born",
         "checkpoint",
         "job",
         "name",
@@ -83,13 +87,16 @@
         "worker",
     )
 
-    def __init__(self, job, task, name, attempt, worker, state):
+    def __init__(self, job, task, name, attempt, worker, state, address="", born=0):
         self.job = job
         self.task = task
         self.name = name
         self.attempt = attempt
         self.worker = worker
         self.state = state
+        # Of the worker when the run was placed, for a successor.
+        self.address = address
+        self.born = born
         self.sent_at = self.acked_at = None
         self.stop_sent_at = self.stop_acked_at = None
         self.progress = 0
@@ -116,6 +123,7 @@
         "failed_polls",
         "failures",
         "info",
+        "is_gone",
         "last_end_acked",
         "last_end_recorded",
         "last_end_seen",
@@ -127,6 +135,7 @@
         "restart_seen_at",
         "runs",
         "slowness",
+        "trial_runs",
         "unknown_runs",
         "unrecorded_ends",
         "used",
@@ -138,7 +147,11 @@
         # planning pass.
         self.changed = True
         self.registered = True
+        # Whether another life of the machine answers at the worker's address.
+        self.is_gone = False
         self.runs = {}
+        # Runs of a job under which workers have crashed; see ``is_in_trial``.
+        self.trial_runs = []
         self.used = [0, 0, 0]
         # (task name, attempt) of runs that the worker lists but ``runs`` does not have.
         self.unknown_runs = set()
@@ -255,7 +268,9 @@
     """Return whether new tasks may be placed on the worker."""
     return (
         worker.registered
+        and not worker.is_gone
         and not worker.info.draining
+        and not is_in_trial(worker)
         and not worker.unknown_runs
         and worker.failed_polls == 0
         and worker.answered_at is not None
@@ -263,6 +278,35 @@
     )
 
 
+# A run of a job under which workers have crashed is on trial until it has run for this
+# long, and for the time that the task ran before the crash, up to the limit.
+TRIAL_S = 1.0
+MAX_EARLIER_RUN_S = 2.0
+
+
+def is_in_trial(worker):
+    """Return whether a run on the worker may still turn out to crash it.
+
+    Nothing else is started there meanwhile: a crash would break it, and would not show
+    which task is the cause.
+    """
+    return bool(runs_on_trial(worker))
+
+
+def runs_on_trial(worker):
+    """Return the runs that may still turn out to crash the worker."""
+    return [run for run in worker.trial_runs if _is_on_trial(worker, run)]
+
+
+def _is_on_trial(worker, run):
+    if worker.runs.get((run.name, run.attempt)) is not run:
+        return False
+    if run.acked_at is None or worker.answered_at is None:
+        return True
+    trial_s = TRIAL_S + min(MAX_EARLIER_RUN_S, run.task.ran_s)
+    return worker.answered_at < run.acked_at + trial_s
+
+
 # A worker that fails or rejects runs is avoided for a period that doubles from the
 # minimum up to the maximum.
 AVOID_MIN_S = 1.0
--- a/tests/fixtures_crashes.py
+++ b/tests/fixtures_crashes.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 
+from cornelward.dispatch_crashes import QUICK_CRASH_S
 from standins.crash_rules import BACK_S, CRASH_DELAY_S, CrashCounts
 
 __all__ = ["Crashes", "live_workers"]
@@ -16,6 +17,8 @@
 REGISTRY_DELAY_S = 2.0
 # A job may be shown as failed if a task of it was on so many crashed workers.
 CRASHES_TO_FAIL = 2
+# The dispatcher's bound for a quick crash, and the time of an answer.
+QUICK_S = QUICK_CRASH_S + 0.05
 
 
 class Crashes(CrashCounts):
@@ -29,15 +32,23 @@
         self.sim = sim
         self.broken_runs = 0
         self.failed_runs = Counter()
+        # When the latest run of a task started, and crashes soon after a start.
+        self.started_at = {}
+        self.quick_by_task = Counter()
 
     def on_crash(self, worker):
         names = [name for name, _ in worker.running]
         self.add_crash(names)
+        now = self.sim.now
+        self.quick_by_task.update(
+            name for name in names if now - self.started_at[name] <= QUICK_S
+        )
         self.broken_runs += sum(name not in self.sim.deadly for name in names)
 
     def on_run_started(self, worker, key):
         """Check the rule BUDGET and schedule the crash under a deadly task."""
         sim, name = self.sim, key[0]
+        self.started_at[name] = sim.now
         if name not in sim.deadly:
             return
         if self.count_start(name):
