Compare a worker's capacity again when a start is sent

Cause: room is compared when a task is placed. Its start is sent later: when the record is written, which takes as long as the store does, or after a pause of the leader, which also sends what it placed before. Neither looked at the capacity again, and after a pause the leader knows that of before.

Change: a start whose worker has more reserved than it has is withdrawn at the sending and its task placed again.

The tests of paused and of slow leaders in test_start_relay.py now read the registry, too, and the former checks that the renewal alone does not release the starts.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -38,6 +38,7 @@
     "on_commit_result",
     "pending_by_queue",
     "plan",
+    "recheck_starts",
     "set_queues",
     "state_of",
     "step",
@@ -285,6 +286,9 @@
         # The start request was never sent, so the run cannot exist on a worker.
         discard_run(state, now, run, "withdrawn")
         return
+    if worker_table.is_overcommitted(worker):
+        discard_run(state, now, run, "no room")
+        return
     if ticket:
         # The policy service may have issued a newer ticket while the start was being
         # recorded.
@@ -301,6 +305,25 @@
     state.effects.append(Start(run, worker.info.address, deadline, ticket))
 
 
+def recheck_starts(state, now, starts):
+    """Return which Start effects, held back since they were emitted, may be sent.
+
+    Runs that were stopped or discarded meanwhile need no start, and runs on workers
+    that have shrunk are discarded.
+    """
+    valid = []
+    for effect in starts:
+        run = effect.run
+        worker = state.workers.get(run.worker)
+        if run.state != worker_table.SENT:
+            continue
+        if worker is None or worker_table.is_overcommitted(worker):
+            discard_run(state, now, run, "no room")
+        else:
+            valid.append(effect)
+    return valid
+
+
 def _end_recorded(state, worker_id, born, number):
     worker = state.workers.get(worker_id)
     if worker is None or worker.info.born != born:
--- a/cornelward/node_starts.py
+++ b/cornelward/node_starts.py
@@ -4,7 +4,7 @@
 row: another node may have taken over meanwhile.
 """
 
-from . import dispatch_runs
+from . import dispatch, dispatch_runs
 from .log import get_logger
 from .messages import StartOrder, StartOrders, StartResults
 from .start_relay import digest_of, is_worth_relaying
@@ -16,6 +16,7 @@
     "note_step",
     "on_start_orders",
     "on_start_results",
+    "release_held_starts",
 ]
 
 log = get_logger("node_starts")
@@ -23,6 +24,9 @@
 # A process that did nothing for this long was paused, and what it is about to do may be
 # outdated. Nodes tick ten times a second.
 PAUSED_AFTER_S = 1.0
+# Starts are held back while the registry was not read for so long: the capacity of a
+# worker may have shrunk. A worker takes up to about two seconds to show that.
+MAX_REGISTRY_AGE_S = 2.2
 # A relayed start without a result after this time counts as unanswered.
 RELAY_TIMEOUT_S = 1.1
 # The results of one batch of orders that arrive within this time share a message.
@@ -45,20 +49,35 @@
 
 
 def confirm_term(node, term):
-    """Send the starts held back, if the row was renewed since the pause."""
+    """End the hold of a pause, if the row was renewed since."""
     sent_at = node.leadership.last_request_at
     if term.unconfirmed_since is None:
         return
     if sent_at is not None and sent_at >= term.unconfirmed_since:
         term.unconfirmed_since = None
+        release_held_starts(node, term)
+
+
+def _may_start(node, term):
+    age_s = node.deps.now() - term.registry_asked_at
+    return term.unconfirmed_since is None and age_s <= MAX_REGISTRY_AGE_S
+
+
+def release_held_starts(node, term):
+    """Send the starts held back that are still valid, if starts may be sent."""
+    if term.held_starts and _may_start(node, term):
         held, term.held_starts = term.held_starts, []
-        # Runs that were stopped meanwhile need no start.
-        execute_starts(node, term, [e for e in held if e.run.state == SENT])
+        now = node.deps.now()
+        starts = dispatch.recheck_starts(term.dispatcher, now, held)
+        execute_starts(node, term, starts)
 
 
 def execute_starts(node, term, effects):
-    """Carry out the Start effects, or hold them back until the term is confirmed."""
-    if term.unconfirmed_since is not None:
+    """Carry out the Start effects, or hold them back.
+
+    They are held back until the term is confirmed and the registry has been read.
+    """
+    if not _may_start(node, term):
         term.held_starts += effects
         return
     batches = {}
--- a/cornelward/node_takeover.py
+++ b/cornelward/node_takeover.py
@@ -6,7 +6,7 @@
 
 import functools
 
-from . import dispatch, node_heartbeats, node_leader
+from . import dispatch, node_heartbeats, node_leader, node_starts
 from .commits import PARTITIONS, Applied, Refused, Unknown
 from .dispatch_effects import RowWrite
 from .log import get_logger
@@ -153,6 +153,7 @@
         + settings.longest_lease_s * 1.02
         + UNKNOWN_LEASE_MARGIN_S,
     }
+    term.registry_asked_at = term.started_at
     dispatcher = dispatch.Dispatcher(term.token, fences, cfg, now)
     term.dispatcher = dispatcher
     term.store_reached_at = now
@@ -229,6 +230,8 @@
 
 
 def _follow_registry(node, term, version):
+    asked_at = node.deps.now()
+
     def done(changes):
         if term.closed:
             return
@@ -245,7 +248,7 @@
         for row in changes.rows:
             if row.value is None:
                 dispatch.deregister_worker(term.dispatcher, row.key)
-        node_leader.schedule_step(node)
+        _registry_was_read(node, term, asked_at)
         node.loop.call_later(
             REGISTRY_PAUSE_S, lambda: _follow_registry(node, term, changes.version)
         )
@@ -254,11 +257,19 @@
         node.store.follow(node.store.registry_table, version, FEED_WAIT_S, done)
 
 
+def _registry_was_read(node, term, asked_at):
+    term.registry_asked_at = asked_at
+    node_starts.release_held_starts(node, term)
+    node_leader.schedule_step(node)
+
+
 def _reread_registry(node, term):
+    asked_at = node.deps.now()
+
     def done(listing):
         infos = _decode_workers(node, listing.rows)
         dispatch.update_workers(term.dispatcher, node.deps.now(), infos, complete=True)
-        node_leader.schedule_step(node)
+        _registry_was_read(node, term, asked_at)
         _follow_registry(node, term, listing.version)
 
     _read(node, term, node.store.registry_table, "", done)
--- a/cornelward/workers.py
+++ b/cornelward/workers.py
@@ -22,6 +22,7 @@
     "free_capacity",
     "is_in_trial",
     "is_on_probation",
+    "is_overcommitted",
     "is_usable",
     "new_worker",
     "runs_on_trial",
@@ -264,6 +265,11 @@
     )
 
 
+def is_overcommitted(worker):
+    """Return whether more is reserved than the worker has, as it may have shrunk."""
+    return min(free_capacity(worker)) < 0
+
+
 def is_usable(worker, now):
     """Return whether new tasks may be placed on the worker."""
     return (
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -30,7 +30,7 @@
     decode_record,
     encode_spec,
 )
-from cornelward.workers import SENT, WorkerInfo
+from cornelward.workers import WorkerInfo
 from standins.crash_rules import allowed_cpu
 
 LEASE_S = 6.0
@@ -323,9 +323,8 @@
         if number != self.renewals:
             return
         held, self.held_starts = self.held_starts, None
-        for effect in held:
-            if effect.run.state == SENT:
-                self._start(effect)
+        for effect in dispatch.recheck_starts(self.core, self.sim.now, held):
+            self._start(effect)
 
     def hear(self, worker_id):
         """Take over what the registry says of a worker."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -264,3 +264,28 @@
     submit_bad_job(sim, steps, deadly=[0])
     sim.run(120)
     assert_outcomes(sim)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("delay_s", [0.01, 1.2], ids=["fast store", "slow store"])
+def test_no_task_starts_on_a_worker_that_has_shrunk(seed, delay_s):
+    # A start that was recorded or held back before the leader heard of the smaller
+    # capacity must not be sent afterwards.
+    sim = start_cell(seed)
+    sim.store.delay_s = delay_s
+    submit_mix(sim, seconds=25.0)
+    for worker in sim.workers.values():
+        for _ in range(4):
+            cpu = sim.rng.choice((1_000, 3_000, 8_000))
+            sim.after(sim.rng.uniform(0, 25), lambda w=worker, cpu=cpu: w.resize(cpu))
+        sim.after(30.0, lambda w=worker: w.resize(8_000))
+    for _ in range(3):
+        sim.run(sim.rng.uniform(1.0, 5.0))
+        sim.leader.frozen = True
+        sim.after(sim.rng.uniform(0.5, 8.0), sim.leader.resume)
+        sim.run(8.0)
+    if seed % 2:
+        sim.start_leader()
+    sim.store.delay_s = 0.01
+    sim.run(90)
+    assert_outcomes(sim)
--- a/tests/test_start_relay.py
+++ b/tests/test_start_relay.py
@@ -174,6 +174,10 @@
     assert_that(node.leadership.last_request_at, Equals(None))
     node.leadership.last_request_at = node.now + 0.01
     node_starts.confirm_term(node, term)
+    # The capacities that it knows are from before the pause.
+    assert_that((node.orders, node.messages), Equals(([], [])))
+    term.registry_asked_at = node.now
+    node_starts.release_held_starts(node, term)
     assert_that(node.messages, HasLength(1))
 
 
@@ -204,10 +208,24 @@
     assert_that((node.orders, node.messages), Equals(([], [])))
 
 
+def test_start_held_back_is_not_sent_to_a_worker_that_has_shrunk(node):
+    term, starts = started_job(node, tasks=2, entry=None)
+    term.registry_asked_at = node.now - node_starts.MAX_REGISTRY_AGE_S - 0.1
+    node_starts.execute_starts(node, term, starts)
+    assert_that(node.orders, Equals([]))
+    for worker in term.dispatcher.workers.values():
+        worker.info = worker.info._replace(cpu=1_000)
+    term.registry_asked_at = node.now
+    node_starts.release_held_starts(node, term)
+    started = {order.worker for order, _, _ in node.orders}
+    assert_that(len(node.orders), Equals(len(started)))
+
+
 def test_leader_that_is_only_slow_goes_on(node):
     term, starts = started_job(node)
     for _ in range(5):
         node.now += 0.7
+        term.registry_asked_at = node.now
         node_starts.note_step(node, term)
     node_starts.execute_starts(node, term, starts)
     assert_that(len(node.messages), GreaterThan(0))
