Show and answer a job's outcome only once it is recorded

What callers could see: a job shown as completed, failed or cancelled, or a cancel answered with 410 because the job had ended, and tasks of it started afterwards.

Cause: when a record had been written, the state shown was the one that the job had by then, not the recorded one: an outcome decided while the record was on its way was shown before any successor could read it. A cancel of a job with an outcome that was not recorded yet was answered at once.

Change: a transaction keeps the states that it records, and these are shown once it has applied; the answer to a cancel of an ended job waits for the record like that of any other cancel.

--- a/cornelward/commits.py
+++ b/cornelward/commits.py
@@ -11,7 +11,7 @@
 import xxhash
 
 from .dispatch_effects import Commit, RowWrite
-from .staged_jobs import encode_record
+from .staged_jobs import encode_record, state_of_job
 
 __all__ = [
     "PARTITIONS",
@@ -65,9 +65,13 @@
 
 
 class Batch(NamedTuple):
-    """A transaction in flight, with its jobs and the effects to run once it applies."""
+    """A transaction in flight, with its jobs and the effects to run once it applies.
+
+    ``states`` are the states of the jobs that it records.
+    """
 
     jobs: list
+    states: list
     effects: list
     commit: Commit
     finished_jobs: list
@@ -153,7 +157,10 @@
                 writes.append(RowWrite("runs", job_id, None))
         else:
             writes.append(RowWrite("runs", job_id, encode_record(job)))
-    return Batch(jobs, effects, Commit(writer.part, expected, writes), finished_jobs)
+    states = [state_of_job(job) for job in jobs]
+    return Batch(
+        jobs, states, effects, Commit(writer.part, expected, writes), finished_jobs
+    )
 
 
 def _is_applied(batch, rows):
--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -26,8 +26,6 @@
     COMPLETED,
     FAILED,
     PLACED,
-    QUEUED,
-    RUNNING,
 )
 
 __all__ = [
@@ -200,11 +198,11 @@
     if state.finished.get(job_id) == CANCELLED:
         state.effects.append(Reply(reply, True))
         return
-    if job is None or job.outcome in (COMPLETED, FAILED):
-        is_finished = job is not None or job_id in state.finished
-        state.effects.append(Reply(reply, False if is_finished else None))
+    if job is None:
+        value = False if job_id in state.finished else None
+        state.effects.append(Reply(reply, value))
         return
-    mark_dirty(state, job, Reply(reply, True))
+    mark_dirty(state, job, Reply(reply, job.outcome not in (COMPLETED, FAILED)))
     if job.outcome is None:
         end_job(state, now, job, CANCELLED)
 
@@ -233,8 +231,8 @@
         log("warning", "fenced_off", part=part, token=state.token)
         state.fenced_off = True
         return
-    for job in batch.jobs:
-        job.recorded_state = job.outcome or (RUNNING if job.started else QUEUED)
+    for job, recorded_state in zip(batch.jobs, batch.states, strict=True):
+        job.recorded_state = recorded_state
     for job in batch.finished_jobs:
         state.finished[job.spec.id] = job.outcome
         state.jobs.pop(job.spec.id, None)
--- a/cornelward/staged_jobs.py
+++ b/cornelward/staged_jobs.py
@@ -33,6 +33,7 @@
     "new_job",
     "restore_record",
     "spec_problem",
+    "state_of_job",
 ]
 
 # States of a job.
@@ -281,6 +282,11 @@
     return len(job.tasks) == expected and all(is_step_done(job, k) for k in job.tasks)
 
 
+def state_of_job(job):
+    """Return the job's present state, as callers see it once it is recorded."""
+    return job.outcome or (RUNNING if job.started else QUEUED)
+
+
 def task_name(job, task):
     """Return the task's name in requests to workers: id, occurrence, step and index."""
     return ".".join((job.spec.id, *map(str, task.key)))
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -11,6 +11,7 @@
 from testtools.matchers import Equals, HasLength, LessThan
 
 from cornelward import (
+    commits,
     dispatch,
     dispatch_polls,
     dispatch_runs,
@@ -393,6 +394,53 @@
     assert_that(worker.number, Equals(1))
 
 
+def end_job_while_a_record_is_written(sim):
+    """End the second task of a job while the end of the first is being recorded.
+
+    The store answers no transaction yet.
+    """
+    sim.fail_share = 0.0
+    sim.start_leader()
+    sim.run(0.5)
+    sim.submit("a" * 16, steps_of(2, estimate_s=30.0))
+    sim.run(0.3)
+    (worker,) = sim.workers.values()
+    first, second = worker.running
+    sim.store.down = True
+    worker.end(first, "done")
+    sim.run(1.0)
+    worker.end(second, "done")
+    sim.run(1.0)
+    assert_that(sim.leader.core.jobs["a" * 16].outcome, Equals("completed"))
+
+
+def test_outcome_is_shown_only_once_it_is_recorded():
+    # Guards against a job shown as completed whose outcome no successor can read: it
+    # was decided while an earlier state of the job was being written.
+    sim = Sim(1, workers=1)
+    end_job_while_a_record_is_written(sim)
+    part = commits.partition_of("a" * 16)
+    sim.store.down = False
+    while dispatch.state_of(sim.leader.core, "a" * 16) != "completed":
+        sim.run(0.001)
+    assert_that((part, "done", "a" * 16) in sim.store.rows, Equals(True))
+
+
+def test_cancel_of_an_ended_job_is_answered_once_the_outcome_is_recorded():
+    # Otherwise a successor that does not read the outcome may start tasks of the job
+    # after its cancelling was answered.
+    sim = Sim(1, workers=1)
+    end_job_while_a_record_is_written(sim)
+    replies = []
+    dispatch.cancel(sim.leader.core, sim.now, "a" * 16, replies.append)
+    sim.leader.step()
+    assert_that(replies, Equals([]))
+    sim.store.down = False
+    sim.run(1.0)
+    assert_that(replies, Equals([False]))
+    assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals("completed"))
+
+
 def test_cancelled_job_is_stopped_and_reported_as_cancelled():
     sim = Sim(1)
     sim.start_leader()
