--- a/cornelward/dispatch_polls.py
+++ b/cornelward/dispatch_polls.py
@@ -11,9 +11,10 @@
 
 # How long a worker may delay its response to a poll until a run ends (long polling).
 POLL_WAIT_S = 1.0
-# Minimum interval after a failed poll, and between polls while ended runs are being
-# recorded in the store.
+# Minimum interval after a failed poll of a worker with runs.
 POLL_RETRY_S = 0.3
+# Minimum interval after a failed poll of another worker, and between polls while ended
+# runs are being recorded in the store.
 POLL_INTERVAL_S = 0.8
 # An acknowledgement is sent only if the worker's latest answer is no older than this:
 # it may have restarted since.
@@ -42,22 +43,24 @@
 def send_polls(state, now, workers):
     """Poll the workers that need it.
 
-    A worker is polled if it has runs, lists unknown runs, has not answered, or has
-    ended runs that can be acknowledged.
+    A worker is polled if it has runs, lists unknown runs, has not answered yet or not
+    the last time, or has ended runs that can be acknowledged.
     """
     for worker in workers:
         if worker.poll_in_flight or not worker.info.address:
             continue
-        is_unanswered = worker.answered_at is None or worker.failed_polls
-        awaits_answer = is_unanswered and worker.registered
         has_unacked_ends = worker.last_end_recorded > worker.last_end_acked
+        is_silent = worker.answered_at is None or worker.failed_polls > 0
         if not (
-            worker.runs or worker.unknown_runs or awaits_answer or has_unacked_ends
+            worker.runs
+            or worker.unknown_runs
+            or has_unacked_ends
+            or (is_silent and worker.registered)
         ):
             continue
         pause = 0.0
         if worker.failed_polls:
-            pause = POLL_RETRY_S
+            pause = POLL_RETRY_S if worker.runs else POLL_INTERVAL_S
         elif worker.unrecorded_ends and not has_unacked_ends:
             pause = POLL_INTERVAL_S
         if now - worker.last_poll_at < pause:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -394,6 +394,35 @@
     assert_that(worker.number, Equals(1))
 
 
+def test_cancelled_job_is_stopped_and_reported_as_cancelled():
+    sim = Sim(1)
+    sim.start_leader()
+    sim.submit("a" * 16, steps_of(4, estimate_s=30.0))
+    sim.run(1.0)
+    replies = []
+    dispatch.cancel(sim.leader.core, sim.now, "a" * 16, replies.append)
+    sim.run(2.0)
+    assert_that(replies, Equals([True]))
+    running = [k for w in sim.workers.values() for k in w.running]
+    assert_that(running, Equals([]))
+    assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals("cancelled"))
+
+
+def test_cancel_while_the_end_is_being_recorded_gets_a_reply():
+    # Guards against a second cancel that is never answered: a DELETE waited until its
+    # time limit and got status 410.
+    sim = Sim(1)
+    sim.start_leader()
+    sim.submit("a" * 16, steps_of(1, cpu=99_000))
+    sim.run(0.2)
+    replies = []
+    for _ in range(2):
+        dispatch.cancel(sim.leader.core, sim.now, "a" * 16, replies.append)
+        sim.leader.step()
+    sim.run(0.3)
+    assert_that(replies, Equals([True, True]))
+
+
 def end_job_while_a_record_is_written(sim):
     """End the second task of a job while the end of the first is being recorded.
 
@@ -441,35 +470,6 @@
     assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals("completed"))
 
 
-def test_cancelled_job_is_stopped_and_reported_as_cancelled():
-    sim = Sim(1)
-    sim.start_leader()
-    sim.submit("a" * 16, steps_of(4, estimate_s=30.0))
-    sim.run(1.0)
-    replies = []
-    dispatch.cancel(sim.leader.core, sim.now, "a" * 16, replies.append)
-    sim.run(2.0)
-    assert_that(replies, Equals([True]))
-    running = [k for w in sim.workers.values() for k in w.running]
-    assert_that(running, Equals([]))
-    assert_that(dispatch.state_of(sim.leader.core, "a" * 16), Equals("cancelled"))
-
-
-def test_cancel_while_the_end_is_being_recorded_gets_a_reply():
-    # Guards against a second cancel that is never answered: a DELETE waited until its
-    # time limit and got status 410.
-    sim = Sim(1)
-    sim.start_leader()
-    sim.submit("a" * 16, steps_of(1, cpu=99_000))
-    sim.run(0.2)
-    replies = []
-    for _ in range(2):
-        dispatch.cancel(sim.leader.core, sim.now, "a" * 16, replies.append)
-        sim.leader.step()
-    sim.run(0.3)
-    assert_that(replies, Equals([True, True]))
-
-
 def test_job_without_a_started_task_counts_as_pending():
     sim = Sim(1, workers=1)
     sim.start_leader()
