--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -24,8 +24,6 @@
 from .staged_jobs import (
     CANCELLED,
     PLACED,
-    QUEUED,
-    RUNNING,
 )
 
 __all__ = [
@@ -246,8 +244,8 @@
         log("warning", "fenced_off", part=part, token=state.token)
         state.fenced_off = True
         return
-    for job in batch.jobs:
-        job.recorded_state = job.outcome or (RUNNING if job.started else QUEUED)
+    for job, recorded_state in zip(batch.jobs, batch.states, strict=True):
+        job.recorded_state = recorded_state
     for job in batch.finished_jobs:
         state.finished[job.spec.id] = job.outcome
         state.jobs.pop(job.spec.id, None)
