Crash and shrink workers in the fault soak

Change: three faults more: a worker crashes and is back under the same or a new id, a worker shrinks for a while, and a job with one deadly task is submitted, which has to be shown as failed.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,10 +5,13 @@
 and one proxy for each node's store connections and each worker run in this process.
 
 Faults overlap: signals to nodes, restarts, connections that are delayed, reset, refused
-or silent, a store that is unavailable, slow or loses answers or its change history, and
-silent workers. The checks: no task runs twice or again after its end, a job whose
-submissions were all refused runs no task, every accepted job completes, no node exits
-unless it was told to, and no node uses more than 128 MiB of memory.
+or silent, a store that is unavailable, slow or loses answers or its change history,
+workers that are silent, crash or change their capacity, and deadly tasks, which crash
+each worker that starts them. The checks: no task runs twice or again after its end, no
+start exceeds a worker's capacity, no deadly task is started without limit, a job whose
+submissions were all refused runs no task, every accepted job completes, or fails if it
+has a deadly task, no node exits unless it was told to, and no node uses more than
+128 MiB of memory.
 """
 
 import argparse
@@ -26,7 +29,7 @@
 from standins.proxy import Proxy
 
 from .launch import ROOT, free_ports
-from .soak_faults import FAULTS, restart
+from .soak_faults import FAULTS, WORKER_CPU, restart
 
 __all__ = ["Soak", "main", "run_seed"]
 
@@ -128,9 +131,10 @@
 class SubmittedJob:
     """A job, the HTTP statuses of its submissions and its last reported state."""
 
-    def __init__(self, job_id, body):
+    def __init__(self, job_id, body, outcome="completed"):
         self.id = job_id
         self.body = body
+        self.outcome = outcome
         self.statuses = []
         self.state = None
 
@@ -138,6 +142,11 @@
     def is_accepted(self):
         return 200 in self.statuses
 
+    @property
+    def has_ended(self):
+        """Return whether the job was reported to have its outcome."""
+        return self.state == self.outcome
+
     @property
     def is_refused(self):
         """Return whether every submission was answered with a refusal (429 or 503)."""
@@ -153,13 +162,16 @@
         self.load_s = load_s
         self.loop = Loop()
         self.client = HttpClient(self.loop)
-        self.cell = Cell(self.loop, WORKERS, run_s=TASK_RUN_S, seed=seed)
+        self.cell = Cell(self.loop, WORKERS, WORKER_CPU, TASK_RUN_S, seed=seed)
         self.cell.configure(1, [ROUTE])
         self.worker_proxies = [Proxy(self.loop, w.address) for w in self.workers]
         for worker, proxy in zip(self.workers, self.worker_proxies, strict=True):
             worker.address = proxy.address
         self.nodes = [self._make_node(f"n{i}") for i in range(NODES)]
         self.jobs = []
+        # Names of the deadly tasks.
+        self.deadly = set()
+        self.cell.deadly = self.deadly.__contains__
         self.events = []
         self.failures = []
         self.is_load_over = False
@@ -217,6 +229,15 @@
         self._submit(job, MAX_ATTEMPTS)
         self.loop.call_later(SUBMIT_INTERVAL_S, self._submit_next)
 
+    def submit_deadly_job(self, rng):
+        """Submit a job with one deadly task."""
+        job_id, count = f"{rng.getrandbits(64):016x}", rng.randint(1, 4)
+        step = {"count": count, "cpu": 1_000, "mem_mb": 64, "estimate_ms": 300}
+        self.deadly.add(f"{job_id}.0.0.{rng.randrange(count)}")
+        job = SubmittedJob(job_id, {"spec": "s", "steps": [step]}, "failed")
+        self.jobs.append(job)
+        self._submit(job, MAX_ATTEMPTS)
+
     def _submit(self, job, attempts):
         """Submit a job; retry with the same id until it is accepted.
 
@@ -271,12 +292,12 @@
     # Checks
 
     def _check_outcome(self):
-        """Wait until all accepted jobs are completed, then check all guarantees."""
+        """Wait until all accepted jobs have ended, then check all guarantees."""
         accepted = [job for job in self.jobs if job.is_accepted]
 
         def poll_jobs():
             for job in accepted:
-                if job.state != "completed":
+                if not job.has_ended:
                     self._call(
                         "GET",
                         job,
@@ -285,13 +306,12 @@
             self.loop.call_later(1.0, poll_jobs)
 
         poll_jobs()
-        self.loop.run_until(
-            lambda: all(job.state == "completed" for job in accepted), SETTLE_S
-        )
+        self.loop.run_until(lambda: all(job.has_ended for job in accepted), SETTLE_S)
         for job in accepted:
-            if job.state != "completed":
+            if not job.has_ended:
                 self.failures.append(
-                    f"{job.id} was accepted, but its state is {job.state}"
+                    f"{job.id} was accepted, but its state is {job.state} instead of"
+                    f" {job.outcome}"
                 )
         self.failures += self.cell.violations
         started = {task.split(".")[0] for _, task, _ in self.cell.starts}
@@ -346,7 +366,8 @@
         accepted = sum(job.is_accepted for job in soak.jobs)
         print(
             f"seed {seed}: {len(soak.jobs)} jobs, {accepted} accepted,"
-            f" {len(soak.cell.starts)} starts, {len(failures)} failures",
+            f" {len(soak.cell.starts)} starts, {soak.cell.crashes.deadly} crashes by"
+            f" {len(soak.deadly)} deadly tasks, {len(failures)} failures",
             flush=True,
         )
         if failures:
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -8,7 +8,9 @@
 
 from standins.proxy import TO_CALLER, TO_TARGET
 
-__all__ = ["FAULTS", "restart"]
+__all__ = ["FAULTS", "WORKER_CPU", "restart"]
+
+WORKER_CPU = 8_000
 
 # Interval at which ``restart`` polls a node whose graceful stop outlasts the fault.
 RETRY_S = 0.4
@@ -89,6 +91,23 @@
     return lambda: setattr(worker, "silent", False)
 
 
+# The worker is back at its address, half the time under a new id.
+def _worker_crashes(soak, rng):
+    worker = rng.choice(soak.workers)
+    new_id = worker.next_id() if rng.random() < 0.5 else None
+    worker.crash(rng.uniform(0.5, 4.0), new_id)
+
+
+def _worker_shrinks(soak, rng):
+    worker = rng.choice(soak.workers)
+    worker.resize(rng.choice((1_000, 2_000)))
+    return lambda: worker.resize(WORKER_CPU)
+
+
+def _deadly_task(soak, rng):
+    soak.submit_deadly_job(rng)
+
+
 def _any_proxy(soak, rng):
     return rng.choice(
         [*(node.store_proxy for node in soak.nodes), *soak.worker_proxies]
@@ -132,6 +151,9 @@
     _store_loses_answers,
     _store_forgets,
     _worker_silent,
+    _worker_crashes,
+    _worker_shrinks,
+    _deadly_task,
     _path_delayed,
     _path_silent,
     _path_refused,
