--- a/tools/soak.py
+++ b/tools/soak.py
@@ -195,6 +195,7 @@
                 node.start()
             self._wait_serving()
             self._submit_next()
+            self.submit_deadly_job(self.rng)
             self._start_next_fault()
             self.loop.run_until(lambda: False, self.load_s)
             self.is_load_over = True
