Begin the trials of suspects sooner, and end them earlier

Cause: at most a quarter of the workers could be in trial, those that had crashed meanwhile counted for the 3 s until they were back, and a trial lasted up to 3 s.

Change: a trial lasts 1.2 s, as only quick crashes are conclusive; up to half of the reachable workers may be in trial. Crashes after confirmed starts and others are counted apart, so that starts which never reached a worker do not count toward the fourth crash.

The schedules of test_crashes.py pass; they do not show the wait, which needs more load than they have.

--- a/cornelward/crash_trials.py
+++ b/cornelward/crash_trials.py
@@ -12,8 +12,8 @@
 
 __all__ = ["begin", "fit_suspects", "has_suspects", "tasks_to_place"]
 
-# Largest share of the usable workers that may be in trial; one worker always may.
-MAX_TRIAL_SHARE = 0.25
+# Largest share of the reachable workers that may be in trial; one worker always may.
+MAX_TRIAL_SHARE = 0.5
 
 
 def has_suspects(tasks):
@@ -43,7 +43,9 @@
 
     ``workers`` are all workers that the leader knows.
     """
-    in_trial = sum(is_in_trial(worker) for worker in workers)
+    in_trial = sum(
+        is_in_trial(worker) and not worker.failed_polls for worker in workers
+    )
     if in_trial >= max(1, MAX_TRIAL_SHARE * (len(capacity.workers) + in_trial)):
         return []
     if candidate.job.spec.steps[candidate.key[1]].gang:
--- a/cornelward/dispatch_crashes.py
+++ b/cornelward/dispatch_crashes.py
@@ -1,15 +1,14 @@
 """Core: workers that crashed, and the tasks under which they did.
 
 A task may crash each worker that starts it. Which of the runs on a crashed worker is
-the cause is not known, so each of these tasks becomes a suspect: its job's tasks are
-then placed on one worker at a time, on which nothing else starts until they have run
-for a while (a trial). A worker that crashes during a trial shows which job is the
-cause.
+the cause is not known, so all of their tasks are suspects. A suspect is placed on a
+worker where nothing else starts for a while (see ``crash_trials``): if that crashes,
+too, the suspect's job is the cause.
 """
 
 from .dispatch_tasks import discard_run, fail_job, request_stop
 from .log import get_logger
-from .workers import RECORDING, is_in_trial, runs_on_trial
+from .workers import QUICK_CRASH_S, RECORDING, is_in_trial, runs_on_trial
 
 __all__ = ["GONE", "note_crash", "on_worker_gone"]
 
@@ -18,14 +17,13 @@
 # Result of a request to a worker whose address another life of the machine has.
 GONE = "gone"
 
-# A job fails by the second crash under one of its tasks if that is during its trial and
-# the task never ran for longer than ``QUICK_CRASH_S``. Otherwise it fails by the fourth
-# one, as tasks may also lose several workers by chance, or by the fifth if the workers
-# had not confirmed the starts.
-QUICK_CRASH_S = 1.0
+# A job fails by the second crash under one of its tasks if that is during its trial,
+# both were quick and the workers had confirmed the starts. Otherwise it fails by the
+# fourth such crash, as tasks may also lose several workers by chance, or by the fifth
+# of any kind.
 QUICK_CRASHES = 2
-MAX_CRASHES = 4
-MAX_UNCONFIRMED_CRASHES = 5
+MAX_CONFIRMED_CRASHES = 4
+MAX_CRASHES = 5
 # Workers that are lost within this time of each other have a common cause.
 COINCIDENCE_S = 0.5
 # A long-running task that ran for this long did not crash its worker.
@@ -76,6 +74,7 @@
     is_conclusive = (
         run in on_trial
         and run.acked_at is not None
+        and task.ran_s <= QUICK_CRASH_S
         and not _others_were_lost(state, worker)
     )
     log(
@@ -88,19 +87,15 @@
         ran_s=round(ran_s, 2),
         conclusive=is_conclusive,
     )
-    if task.crashes >= _allowed_crashes(task, is_conclusive):
+    if _is_to_blame(task, is_conclusive):
         state.jobs_failed_by_crashes += 1
         fail_job(state, now, job, task, f"{task.crashes} workers crashed under it")
 
 
 def _observed_run_s(worker, run):
-    """Return for how long the run was seen on the worker.
-
-    A run whose start was not answered, or not to this leader, counts as a long one: it
-    may not have been on the worker.
-    """
+    """Return for how long the run was seen on the worker."""
     if run.acked_at is None or worker.answered_at is None:
-        return QUICK_CRASH_S + 1.0
+        return 0.0
     return max(0.0, worker.answered_at - run.acked_at)
 
 
@@ -117,9 +112,6 @@
     )
 
 
-def _allowed_crashes(task, is_conclusive):
-    if is_conclusive and task.ran_s <= QUICK_CRASH_S:
-        return QUICK_CRASHES
-    if task.confirmed_crashes >= QUICK_CRASHES:
-        return MAX_CRASHES
-    return MAX_UNCONFIRMED_CRASHES
+def _is_to_blame(task, is_conclusive):
+    allowed = QUICK_CRASHES if is_conclusive else MAX_CONFIRMED_CRASHES
+    return task.confirmed_crashes >= allowed or task.crashes >= MAX_CRASHES
--- a/cornelward/workers.py
+++ b/cornelward/workers.py
@@ -12,6 +12,7 @@
     "ADOPTED",
     "CLOCK_DRIFT",
     "LEASE_EXPIRY_MARGIN_S",
+    "QUICK_CRASH_S",
     "RECORDING",
     "SENT",
     "STOPPING",
@@ -284,10 +285,10 @@
     )
 
 
-# A run of a job under which workers have crashed is on trial until it has run for this
-# long, and for the time that the task ran before the crash, up to the limit.
-TRIAL_S = 1.0
-MAX_EARLIER_RUN_S = 2.0
+# A crash is quick if the run was seen on the worker for no longer than this.
+QUICK_CRASH_S = 1.0
+# A run of a task under which workers have crashed is on trial for this long.
+TRIAL_S = QUICK_CRASH_S + 0.2
 
 
 def is_in_trial(worker):
@@ -309,8 +310,7 @@
         return False
     if run.acked_at is None or worker.answered_at is None:
         return True
-    trial_s = TRIAL_S + min(MAX_EARLIER_RUN_S, run.task.ran_s)
-    return worker.answered_at < run.acked_at + trial_s
+    return worker.answered_at < run.acked_at + TRIAL_S
 
 
 # A worker that fails or rejects runs is avoided for a period that doubles from the
