Count no crash under a start that was refused or never sent

Cause: on_worker_gone counted a crash under every run of the worker that was not being recorded. Starts that had been sent to a worker whose machine already had another life were counted as soon as the first of them was refused (421), although each of them is refused as well. So was a run whose start was withdrawn while it was being recorded, at the second 421. Idle workers are not polled, so after crashes of several of them a task may meet five such workers within the time that the registry takes: its job was shown as failed without a crash under any of its tasks (LOST).

Change: a run counts only if its start was sent and has a result. A start without a response is stopped as before, and the next poll counts it.

Ruled out by the tests of crashes and takeovers, which pass: a deadly task that is no longer counted.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -296,6 +296,7 @@
             return
     run.state = worker_table.SENT
     run.sent_at = now
+    run.awaits_answer = True
     deadline = worker_table.extend_lease(worker, now, state.cfg["lease_s"])
     if not worker_table.has_answered_within(worker, now, worker_table.FRESH_ANSWER_S):
         longest_s = state.cfg["longest_lease_s"]
--- a/cornelward/dispatch_crashes.py
+++ b/cornelward/dispatch_crashes.py
@@ -9,7 +9,7 @@
 
 from .dispatch_tasks import discard_run, fail_job, request_stop
 from .log import get_logger
-from .workers import RECORDING, is_in_trial, runs_on_trial
+from .workers import RECORDING, STOPPING, is_in_trial, runs_on_trial
 
 __all__ = ["GONE", "note_crash", "on_worker_gone"]
 
@@ -48,8 +48,9 @@
     on_trial = runs_on_trial(worker)
     for run in list(worker.runs.values()):
         if run.state == RECORDING:
-            # Its start was never sent.
             request_stop(state, now, run)
+        if _is_unsent(run) or run.awaits_answer:
+            # It was not on the worker, or the result of its start tells whether it was.
             continue
         if has_crashed:
             note_crash(state, now, worker, run, on_trial)
@@ -57,6 +58,11 @@
     state.needs_plan = True
 
 
+def _is_unsent(run):
+    """Return whether the run is to be withdrawn before its start is sent."""
+    return run.state == STOPPING and run.stop_sent_at is None
+
+
 def note_crash(state, now, worker, run, on_trial):
     """Count a crash of ``worker`` under ``run``; the job may fail by it.
 
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -45,6 +45,7 @@
     worker's reason for rejecting the request.
     """
     worker = state.workers.get(run.worker)
+    run.awaits_answer = False
     if worker is None or worker.runs.get((run.name, run.attempt)) is not run:
         return
     if answer == "ok":
--- a/cornelward/workers.py
+++ b/cornelward/workers.py
@@ -74,6 +74,7 @@
         "acked_at",
         "address",
         "attempt",
+        "awaits_answer",
         "born",
         "checkpoint",
         "job",
@@ -99,6 +100,8 @@
         self.address = address
         self.born = born
         self.sent_at = self.acked_at = None
+        # Whether the start request was sent and its result is not known yet.
+        self.awaits_answer = False
         self.stop_sent_at = self.stop_acked_at = None
         self.progress = 0
         self.progress_at = None
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -289,3 +289,37 @@
     sim.store.delay_s = 0.01
     sim.run(90)
     assert_outcomes(sim)
+
+
+def replace_idle_workers(sim):
+    """Crash all idle workers, and run on until they are back under new ids.
+
+    The registry still lists the former ids, and idle workers are not polled.
+    """
+    sim.run(3.0)
+    for worker in live_workers(sim):
+        worker.crash(3.2, sim.next_worker_id())
+    sim.run(3.3)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(
+    "shape",
+    [
+        {"count": 2, "cpu": 4_000},
+        {"count": 8, "cpu": 500},
+        {"count": 4, "cpu": 1_000, "gang": True},
+    ],
+    ids=["two tasks", "wide step", "gang"],
+)
+def test_start_refused_by_another_life_of_the_machine_is_no_crash(seed, shape):
+    # Guards against jobs that fail although no worker has crashed under their tasks.
+    sim = start_cell(seed)
+    replace_idle_workers(sim)
+    fields = dict(shape)
+    sim.submit(BAD_JOB, steps_of(fields.pop("count"), **fields))
+    sim.run(30)
+    core = sim.leader.core
+    assert_that(sim.violations, Equals([]))
+    assert_that(core.crashed_runs, Equals(0))
+    assert_that(dispatch.state_of(core, BAD_JOB), Equals("completed"))
