Count the lease of a start that was held back from its sending

Cause: a start held back (pause, registry not read) was sent with the lease of the time at which it was emitted. After more than 6 s each was refused as late, and its worker avoided for up to 20 s. If the worker had restarted under its id, it granted the longest lease from the arrival, while the leader counted that from before the hold: a worker that fell silent then could be taken for lapsed while it still ran the task (TWICE).

Change: recheck_starts grants the lease anew, as _send_start does.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -297,18 +297,25 @@
     run.state = worker_table.SENT
     run.sent_at = now
     run.awaits_answer = True
+    deadline = _grant_lease(state, now, worker)
+    state.effects.append(Start(run, worker.info.address, deadline, ticket))
+
+
+def _grant_lease(state, now, worker):
+    """Extend the worker's lease by a start sent now; returns its new end."""
     deadline = worker_table.extend_lease(worker, now, state.cfg["lease_s"])
     if not worker_table.has_answered_within(worker, now, worker_table.FRESH_ANSWER_S):
         longest_s = state.cfg["longest_lease_s"]
         worker_table.assume_longest_lease(worker, now, longest_s)
-    state.effects.append(Start(run, worker.info.address, deadline, ticket))
+    return deadline
 
 
 def recheck_starts(state, now, starts):
     """Return which Start effects, held back since they were emitted, may be sent.
 
     Runs that were stopped or discarded meanwhile need no start, and runs on workers
-    that have shrunk are discarded.
+    that have shrunk are discarded. The others get a new lease, as it counts from the
+    sending.
     """
     valid = []
     for effect in starts:
@@ -319,7 +326,8 @@
         if worker is None or worker_table.is_overcommitted(worker):
             discard_run(state, now, run, "no room")
         else:
-            valid.append(effect)
+            deadline = _grant_lease(state, now, worker)
+            valid.append(effect._replace(deadline_s=deadline))
     return valid
 
 
--- a/tests/test_start_relay.py
+++ b/tests/test_start_relay.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 import pytest
-from fixtures_dispatch import Sim, steps_of
+from fixtures_dispatch import LEASE_S, LONGEST_LEASE_S, Sim, steps_of
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 
@@ -17,7 +17,7 @@
     connect_worker_commands,
 )
 from cornelward.start_relay import Payloads, digest_of, is_worth_relaying
-from cornelward.workers import STOPPING, VOID
+from cornelward.workers import STOPPING, VOID, worker_time
 
 JOB = "a" * 16
 ENTRY = "10.0.0.5:1"
@@ -221,6 +221,26 @@
     assert_that(len(node.orders), Equals(len(started)))
 
 
+def test_start_held_back_gets_a_lease_from_the_time_of_its_sending(node):
+    # A worker refuses a start whose lease is over, and is then avoided. One that has
+    # restarted grants the longest lease from then on: its runs must not be taken for
+    # lapsed before.
+    term, starts = started_job(node, tasks=2, entry=None)
+    core = term.dispatcher
+    term.registry_asked_at = node.now - node_starts.MAX_REGISTRY_AGE_S - 0.1
+    node_starts.execute_starts(node, term, starts)
+    node.now += 30.0
+    term.registry_asked_at = node.now
+    node_starts.release_held_starts(node, term)
+    assert_that(node.orders, HasLength(2))
+    for order, _, _ in node.orders:
+        worker = core.workers[order.worker]
+        clock_s = worker_time(worker, node.now)
+        assert_that(order.deadline_s - clock_s, GreaterThan(LEASE_S - 0.01))
+        lease_s = worker.lease_ends_at - node.now
+        assert_that(lease_s, GreaterThan(LONGEST_LEASE_S))
+
+
 def test_leader_that_is_only_slow_goes_on(node):
     term, starts = started_job(node)
     for _ in range(5):
