Take no refusal from before a worker's restart for its present life

Cause: a refusal (421) of a poll or a start discarded all runs of the worker without regard to when the request was sent. If the worker restarted under its id at another address meanwhile, and the registry told of it first, runs on its present life were discarded and their tasks placed again (TWICE). Reports of such polls were already ignored, refusals were not.

Change: a refusal of a request that was sent before the restart was seen does not make the worker gone; a refused run is still discarded.

--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -78,7 +78,7 @@
     else:
         workers.avoid(worker, now)
     discard_run(state, now, run, answer)
-    if answer == GONE:
+    if answer == GONE and run.sent_at >= worker.restart_seen_at:
         on_worker_gone(state, now, worker)
 
 
@@ -93,7 +93,8 @@
 def on_poll_result(state, now, worker_id, sent_at, report):
     """Handle the result of a Poll; ``report`` is None if there was no response.
 
-    It is ``GONE`` if another life of the machine answered. Otherwise it has
+    It is ``GONE`` if another life of the machine answered; sent before a restart, the
+    poll may have gone to an address that the worker had then. Otherwise it has
     ``clock_s``, ``born``, ``running`` [(task, attempt, checkpoint, progress)] and
     ``ended`` [(number, task, attempt, how, checkpoint)].
     """
@@ -102,13 +103,9 @@
         return
     worker.poll_in_flight = False
     state.poll_due[worker_id] = True
-    if report == GONE:
+    if report == GONE and sent_at >= worker.restart_seen_at:
         on_worker_gone(state, now, worker)
-        report = None
-    if report is not None and _is_from_earlier_life(worker, sent_at, report):
-        log("info", "report_outdated", worker=worker_id, born=report.born)
-        report = None
-    if report is None:
+    if report in (None, GONE) or _is_from_earlier_life(worker, sent_at, report):
         worker.failed_polls += 1
         worker.changed = True
         return
@@ -137,7 +134,10 @@
 
 def _is_from_earlier_life(worker, sent_at, report):
     """Return whether the worker answered the poll before a restart we know of."""
-    return report.born != worker.info.born and sent_at < worker.restart_seen_at
+    if report.born == worker.info.born or sent_at >= worker.restart_seen_at:
+        return False
+    log("info", "report_outdated", worker=worker.info.id, born=report.born)
+    return True
 
 
 def reset_restarted_worker(worker, now, born):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -366,6 +366,29 @@
     assert_that(known.info.born, Equals(2))
 
 
+@pytest.mark.parametrize("kind", ["poll", "start"])
+def test_refusal_of_a_request_sent_before_a_restart_discards_no_run(kind):
+    # Guards against two runs of a task: the request went to the address of the worker's
+    # former life, which another one has by now, and the answer came late.
+    sim = Sim(1, workers=1)
+    worker, known = start_one_task(sim)
+    core, sent_at = sim.leader.core, sim.now
+    (former_run,) = known.runs.values()
+    sim.run(0.1)
+    worker.restart(2)
+    dispatch.update_workers(core, sim.now, [worker.info], complete=False)
+    sim.run(1.0)
+    (run,) = known.runs.values()
+    assert_that((run.state, run.attempt), Equals((workers.ACTIVE, 2)))
+    if kind == "poll":
+        dispatch_runs.on_poll_result(core, sim.now, "w0", sent_at, "gone")
+    else:
+        known.runs[former_run.name, former_run.attempt] = former_run
+        dispatch_runs.on_start_result(core, sim.now, former_run, "gone")
+    assert_that(list(known.runs.values()), Equals([run]))
+    assert_that(known.is_gone, Equals(False))
+
+
 def test_poll_after_a_failed_one_acknowledges_nothing():
     # The worker may have restarted while it was unreachable.
     sim = Sim(1, workers=1)
