Count the crash of a draining worker that was to leave later

Cause: the crash of a worker that had announced to leave was not counted at all, also long before it was to leave. The entry that says so may be read after the crash, so a task could crash such workers one after the other without being counted (BUDGET).

Change: a worker that is gone before the announced time has crashed.

--- a/cornelward/dispatch_crashes.py
+++ b/cornelward/dispatch_crashes.py
@@ -36,7 +36,7 @@
     """Handle that a worker's address is now that of another life of its machine.
 
     Nothing of the former life is left, so its runs need not wait for its lease. A
-    worker that left as announced has not crashed.
+    worker that left as announced has not crashed; one that was gone before has.
     """
     if not worker.is_gone:
         log("warning", "worker_gone", worker=worker.info.id, runs=len(worker.runs))
@@ -44,7 +44,7 @@
     worker.registered = False
     worker.changed = True
     worker.unrecorded_ends.clear()
-    has_crashed = worker.leaves_at is None
+    has_crashed = worker.leaves_at is None or now < worker.leaves_at
     on_trial = runs_on_trial(worker)
     for run in list(worker.runs.values()):
         if run.state == RECORDING:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -291,6 +291,24 @@
     assert_outcomes(sim)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_crash_of_a_worker_that_was_to_leave_later_counts(seed):
+    # The leader reads that the worker drains only after the crash.
+    sim = start_cell(seed)
+    sim.run(1.0)
+    submit_bad_job(sim, steps_of(1))
+    for _ in range(1_500):
+        sim.run(0.02)
+        for worker in sim.workers.values():
+            if worker.down and not worker.info.draining:
+                worker.info = worker.info._replace(draining=True, leaves_in_s=20.0)
+                dispatch.update_workers(
+                    sim.leader.core, sim.now, [worker.info], complete=False
+                )
+    assert_that(sim.violations, Equals([]))
+    assert_that(dispatch.state_of(sim.leader.core, BAD_JOB), Equals("failed"))
+
+
 def replace_idle_workers(sim):
     """Crash all idle workers, and run on until they are back under new ids.
 
