--- a/cornelward/dispatch_crashes.py
+++ b/cornelward/dispatch_crashes.py
@@ -8,7 +8,13 @@
 
 from .dispatch_tasks import discard_run, fail_job, request_stop
 from .log import get_logger
-from .workers import QUICK_CRASH_S, RECORDING, is_in_trial, runs_on_trial
+from .workers import (
+    QUICK_CRASH_S,
+    RECORDING,
+    STOPPING,
+    is_in_trial,
+    runs_on_trial,
+)
 
 __all__ = ["GONE", "note_crash", "on_worker_gone"]
 
@@ -34,7 +40,7 @@
     """Handle that a worker's address is now that of another life of its machine.
 
     Nothing of the former life is left, so its runs need not wait for its lease. A
-    worker that left as announced has not crashed.
+    worker that left as announced has not crashed; one that was gone before has.
     """
     if not worker.is_gone:
         log("warning", "worker_gone", worker=worker.info.id, runs=len(worker.runs))
@@ -42,12 +48,13 @@
     worker.registered = False
     worker.changed = True
     worker.unrecorded_ends.clear()
-    has_crashed = worker.leaves_at is None
+    has_crashed = worker.leaves_at is None or now < worker.leaves_at
     on_trial = runs_on_trial(worker)
     for run in list(worker.runs.values()):
         if run.state == RECORDING:
-            # Its start was never sent.
             request_stop(state, now, run)
+        if _is_unsent(run) or run.awaits_answer:
+            # It was not on the worker, or the result of its start tells whether it was.
             continue
         if has_crashed:
             note_crash(state, now, worker, run, on_trial)
@@ -55,6 +62,11 @@
     state.needs_plan = True
 
 
+def _is_unsent(run):
+    """Return whether the run is to be withdrawn before its start is sent."""
+    return run.state == STOPPING and run.stop_sent_at is None
+
+
 def note_crash(state, now, worker, run, on_trial):
     """Count a crash of ``worker`` under ``run``; the job may fail by it.
 
