Judge a crash by the time before it, also of a worker that is back under its id

Cause: the crash of such a worker is found when it answers again, and its latest answer was then already the one of the new life, so the time for which it was away counted as time that the task ran, and no crash was conclusive.

Change: the latest answer before the report is what counts.

--- a/cornelward/dispatch_crashes.py
+++ b/cornelward/dispatch_crashes.py
@@ -49,7 +49,7 @@
     worker.changed = True
     worker.unrecorded_ends.clear()
     has_crashed = worker.leaves_at is None or now < worker.leaves_at
-    on_trial = runs_on_trial(worker)
+    seen_at, on_trial = worker.answered_at, runs_on_trial(worker)
     for run in list(worker.runs.values()):
         if run.state == RECORDING:
             request_stop(state, now, run)
@@ -57,7 +57,7 @@
             # It was not on the worker, or the result of its start tells whether it was.
             continue
         if has_crashed:
-            note_crash(state, now, worker, run, on_trial)
+            note_crash(state, now, worker, run, seen_at, on_trial)
         discard_run(state, now, run, "its worker is gone")
     state.needs_plan = True
 
@@ -67,15 +67,17 @@
     return run.state == STOPPING and run.stop_sent_at is None
 
 
-def note_crash(state, now, worker, run, on_trial):
+def note_crash(state, now, worker, run, seen_at, on_trial):
     """Count a crash of ``worker`` under ``run``; the job may fail by it.
 
-    The count is recorded with the job before any later start of the task.
+    ``seen_at`` is when the worker's last answer before the crash arrived, or None, and
+    ``on_trial`` are the runs that were on trial then. The count is recorded with the
+    job before any later start of the task.
     """
     job, task = run.job, run.task
     if task.run is not run or job.outcome is not None:
         return
-    ran_s = _observed_run_s(worker, run)
+    ran_s = _observed_run_s(run, seen_at)
     if run.step.long_running and ran_s >= SURVIVED_S:
         return
     task.crashes += 1
@@ -87,7 +89,7 @@
         run in on_trial
         and run.acked_at is not None
         and task.ran_s <= QUICK_CRASH_S
-        and not _others_were_lost(state, worker)
+        and not _others_were_lost(state, worker, seen_at)
     )
     log(
         "warning",
@@ -104,23 +106,23 @@
         fail_job(state, now, job, task, f"{task.crashes} workers crashed under it")
 
 
-def _observed_run_s(worker, run):
-    """Return for how long the run was seen on the worker."""
-    if run.acked_at is None or worker.answered_at is None:
+def _observed_run_s(run, seen_at):
+    """Return for how long the run was seen on its worker."""
+    if run.acked_at is None or seen_at is None:
         return 0.0
-    return max(0.0, worker.answered_at - run.acked_at)
+    return max(0.0, seen_at - run.acked_at)
 
 
-def _others_were_lost(state, worker):
+def _others_were_lost(state, worker, seen_at):
     """Return whether workers that are not in trial were lost at about the same time."""
     return any(
         other is not worker
         and other.failed_polls
         and other.answered_at is not None
-        and abs(other.answered_at - worker.answered_at) <= COINCIDENCE_S
+        and abs(other.answered_at - seen_at) <= COINCIDENCE_S
         and not is_in_trial(other)
         for other in state.workers.values()
-        if worker.answered_at is not None
+        if seen_at is not None
     )
 
 
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -118,7 +118,7 @@
         workers.bound_lease(worker, now, longest_s)
     worker.failed_polls = 0
     worker.is_gone = False
-    on_trial = runs_on_trial(worker)
+    before = worker.answered_at, runs_on_trial(worker)
     worker.answered_at = now
     if report.born != worker.info.born:
         reset_restarted_worker(worker, now, report.born)
@@ -127,7 +127,7 @@
     _update_listed_runs(state, now, worker, report.running)
     # A list of that length may leave out later ends.
     if len(report.ended) < MAX_LISTED_ENDS:
-        _discard_unlisted_runs(state, now, worker, sent_at, report.running, on_trial)
+        _discard_unlisted_runs(state, now, worker, sent_at, report.running, *before)
     if not worker.unrecorded_ends:
         worker.last_end_recorded = worker.last_end_seen
 
@@ -178,13 +178,16 @@
         state.needs_plan = worker.changed = True
 
 
-def _discard_unlisted_runs(state, now, worker, sent_at, running, on_trial):
-    """Discard the runs that the report would have listed."""
+def _discard_unlisted_runs(state, now, worker, sent_at, running, seen_at, on_trial):
+    """Discard the runs that the report would have listed.
+
+    ``seen_at`` and ``on_trial`` are those before the report, as for ``note_crash``.
+    """
     present = {(name, attempt) for name, attempt, _, _ in running}
     for key, run in list(worker.runs.items()):
         if key not in present and _report_covers_run(run, sent_at):
             if run.born != worker.info.born:
-                note_crash(state, now, worker, run, on_trial)
+                note_crash(state, now, worker, run, seen_at, on_trial)
             discard_run(state, now, run, "not listed by the worker")
 
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -345,3 +345,17 @@
     assert_that(sim.violations, Equals([]))
     assert_that(core.crashed_runs, Equals(0))
     assert_that(dispatch.state_of(core, BAD_JOB), Equals("completed"))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("new_ids", [True, False], ids=["new ids", "same ids"])
+def test_task_that_crashes_its_worker_at_once_takes_down_two(seed, new_ids):
+    # The time for which a crashed worker was away is no time that the task ran.
+    sim = start_cell(seed)
+    sim.new_ids = new_ids
+    sim.run(1.0)
+    submit_bad_job(sim, steps_of(1))
+    sim.run(60)
+    assert_that(sim.violations, Equals([]))
+    assert_that(dispatch.state_of(sim.leader.core, BAD_JOB), Equals("failed"))
+    assert_that(sim.crashes.deadly, Equals(QUICK_CRASHES))
