--- a/cornelward/crash_trials.py
+++ b/cornelward/crash_trials.py
@@ -8,7 +8,7 @@
 
 from . import planning
 from .capacity_index import close_worker
-from .workers import is_in_trial
+from .workers import QUICK_CRASH_S, is_in_trial
 
 __all__ = ["begin", "fit_suspects", "has_suspects", "tasks_to_place"]
 
@@ -16,9 +16,18 @@
 MAX_TRIAL_SHARE = 0.5
 
 
-def has_suspects(tasks):
-    """Return whether a worker has crashed under one of the tasks."""
-    return any(task.crashes for task in tasks)
+def has_suspects(job, tasks):
+    """Return whether one of the tasks is a suspect."""
+    return any(_is_suspect(job, task) for task in tasks)
+
+
+def _is_suspect(job, task):
+    """Return whether a worker has crashed under the task, which may be the cause.
+
+    A long-running task that had run for a while is owed its next run at once.
+    """
+    lasts = job.spec.steps[task.key[1]].long_running
+    return task.crashes > 0 and (task.ran_s <= QUICK_CRASH_S or not lasts)
 
 
 def _has_trial(job):
@@ -32,7 +41,7 @@
     """Return which placeable tasks of a step may be placed now; suspects come first."""
     if _has_trial(job):
         return []
-    suspects = [task for task in tasks if task.crashes]
+    suspects = [task for task in tasks if _is_suspect(job, task)]
     if not suspects or job.spec.steps[suspects[0].key[1]].gang:
         return tasks
     return suspects
--- a/cornelward/dispatch_plan.py
+++ b/cornelward/dispatch_plan.py
@@ -112,7 +112,7 @@
     job, key, tasks, _ = candidate
     if planning.fits_nowhere(capacity, candidate, service):
         return []
-    are_suspects = crash_trials.has_suspects(tasks)
+    are_suspects = crash_trials.has_suspects(job, tasks)
     if are_suspects:
         workers = state.workers.values()
         placed = crash_trials.fit_suspects(workers, capacity, candidate, service)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -9,7 +9,7 @@
 from fixtures_crashes import live_workers
 from fixtures_dispatch import ADVISED, Sim, make_worker, steps_of
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, HasLength
 
 from cornelward import dispatch
 from standins.crash_rules import BACK_S
@@ -359,3 +359,20 @@
     assert_that(sim.violations, Equals([]))
     assert_that(dispatch.state_of(sim.leader.core, BAD_JOB), Equals("failed"))
     assert_that(sim.crashes.deadly, Equals(QUICK_CRASHES))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_lasting_tasks_of_crashed_workers_do_not_wait_for_each_other(seed):
+    # One trial after the other took 10 s for three workers; the rule LOST allows 9 s.
+    sim = start_cell(seed)
+    sim.run(1.0)
+    steps = steps_of(6, estimate_s=900.0, long_running=True, max_per_worker=1)
+    sim.submit(BAD_JOB, steps)
+    sim.run(10.0)
+    busy = [worker for worker in live_workers(sim) if worker.running]
+    for worker in sim.rng.sample(busy, 3):
+        worker.crash(3.2, sim.next_worker_id())
+    sim.run(6.0)
+    running = [key for worker in live_workers(sim) for key in worker.running]
+    assert_that(running, HasLength(6))
+    assert_that(sim.violations, Equals([]))
