--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -11,7 +11,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from cornelward import dispatch
+from cornelward import dispatch, dispatch_crashes
 from standins.crash_rules import BACK_S
 
 SEEDS = range(12)
@@ -376,3 +376,25 @@
     running = [key for worker in live_workers(sim) for key in worker.running]
     assert_that(running, HasLength(6))
     assert_that(sim.violations, Equals([]))
+
+
+@pytest.mark.parametrize("is_new", [True, False], ids=["new run", "older run"])
+def test_suspect_is_not_blamed_if_another_job_had_just_started_there(is_new):
+    # A deadly task had started on the worker right before the trial (soak, seed 27).
+    sim = start_cell(1, racks=1, rack_size=1)
+    sim.run(1.0)
+    suspect, other = "a" * 16, "b" * 16
+    for job_id in (suspect, other):
+        sim.submit(job_id, steps_of(1, estimate_s=30.0))
+    sim.run(0.5)
+    core = sim.leader.core
+    (worker,) = core.workers.values()
+    runs = {run.job.spec.id: run for run in worker.runs.values()}
+    task = runs[suspect].task
+    task.crashes = task.confirmed_crashes = 1
+    worker.trial_runs = [runs[suspect]]
+    if not is_new:
+        runs[other].acked_at -= 5.0
+    dispatch_crashes.on_worker_gone(core, sim.now, worker)
+    outcome = runs[suspect].job.outcome
+    assert_that(outcome, Equals(None if is_new else "failed"))
