--- a/cornelward/dispatch_crashes.py
+++ b/cornelward/dispatch_crashes.py
@@ -16,7 +16,7 @@
     runs_on_trial,
 )
 
-__all__ = ["GONE", "note_crash", "on_worker_gone", "tried_runs"]
+__all__ = ["GONE", "note_crash", "on_worker_gone"]
 
 log = get_logger("dispatch_crashes")
 
@@ -49,7 +49,7 @@
     worker.changed = True
     worker.unrecorded_ends.clear()
     has_crashed = worker.leaves_at is None or now < worker.leaves_at
-    seen_at, on_trial = worker.answered_at, tried_runs(worker)
+    seen_at, on_trial = worker.answered_at, runs_on_trial(worker)
     for run in list(worker.runs.values()):
         if run.state == RECORDING:
             request_stop(state, now, run)
@@ -62,22 +62,6 @@
     state.needs_plan = True
 
 
-def tried_runs(worker):
-    """Return the runs of which a crash of the worker now would show the cause.
-
-    There are none if a run of another job had just started, too, as it may be the
-    cause.
-    """
-    on_trial = runs_on_trial(worker)
-    jobs = {run.job for run in on_trial}
-    is_other_new = any(
-        run.job not in jobs
-        and _observed_run_s(run, worker.answered_at) <= QUICK_CRASH_S
-        for run in worker.runs.values()
-    )
-    return [] if is_other_new else on_trial
-
-
 def _is_unsent(run):
     """Return whether the run is to be withdrawn before its start is sent."""
     return run.state == STOPPING and run.stop_sent_at is None
@@ -87,8 +71,8 @@
     """Count a crash of ``worker`` under ``run``; the job may fail by it.
 
     ``seen_at`` is when the worker's last answer before the crash arrived, or None, and
-    ``on_trial`` are its ``tried_runs`` then. The count is recorded with the job before
-    any later start of the task.
+    ``on_trial`` are the runs that were on trial then. The count is recorded with the
+    job before any later start of the task.
     """
     job, task = run.job, run.task
     if task.run is not run or job.outcome is not None:
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -1,7 +1,7 @@
 """Core: updates runs from the responses of workers."""
 
 from . import objectives, workers
-from .dispatch_crashes import GONE, note_crash, on_worker_gone, tried_runs
+from .dispatch_crashes import GONE, note_crash, on_worker_gone
 from .dispatch_effects import Stop
 from .dispatch_tasks import (
     discard_run,
@@ -13,7 +13,7 @@
 from .log import get_logger
 from .queue_index import mark_changed
 from .staged_jobs import COMPLETED, DONE, is_job_done
-from .workers import ACTIVE, ADOPTED, SENT
+from .workers import ACTIVE, ADOPTED, SENT, runs_on_trial
 
 __all__ = [
     "on_poll_result",
@@ -118,7 +118,7 @@
         workers.bound_lease(worker, now, longest_s)
     worker.failed_polls = 0
     worker.is_gone = False
-    before = worker.answered_at, tried_runs(worker)
+    before = worker.answered_at, runs_on_trial(worker)
     worker.answered_at = now
     if report.born != worker.info.born:
         reset_restarted_worker(worker, now, report.born)
