--- a/review/harness.py
+++ b/review/harness.py
@@ -214,7 +214,9 @@
                 return node
         return None
 
-    def call(self, node, method, job_id, on_answer, body=None, deadline_s=3.0):
+    def call(
+        self, node, method, job_id, on_answer, body=None, deadline_s=3.0, route=ROUTE
+    ):
         """Send a client's call; ``on_answer(status or None, decoded body)``."""
         self.note(f"client sends {method} {job_id} to {node.name}")
 
@@ -235,19 +237,21 @@
         self.client.request(
             node.address,
             method,
-            f"{ROUTE['path_prefix']}{job_id}",
+            f"{route['path_prefix']}{job_id}",
             done,
             headers=headers,
             body=data,
             timeout_s=deadline_s,
         )
 
-    def ask(self, node, method, job_id, body=None, deadline_s=3.0):
+    def ask(self, node, method, job_id, body=None, deadline_s=3.0, route=ROUTE):
         """Send a client's call and wait for (status, decoded body)."""
         found = []
-        self.call(
-            node, method, job_id, lambda *answer: found.append(answer), body, deadline_s
-        )
+
+        def on_answer(*answer):
+            found.append(answer)
+
+        self.call(node, method, job_id, on_answer, body, deadline_s, route)
         self.wait(lambda: found, f"answer to {method} {job_id}", deadline_s + 1.0)
         return found[0]
 
