Test that a reply's kind ties it to its question, also for shared values

A stale one of the other kind would end a cancel or a question for a state.

With the check taken out in a scratch copy both cases of the new test fail; with it they pass.

--- a/tests/test_replies.py
+++ b/tests/test_replies.py
@@ -138,3 +138,16 @@
     if expected is not CancelReply:
         assert_that(asker.deliver(expected(number, "other")), Equals([]))
     assert_that(asker.answer(0), Equals([0]))
+
+
+@pytest.mark.parametrize(
+    ("kind", "other"), [(CancelRequest, StateReply), (StateRequest, CancelReply)]
+)
+def test_reply_of_another_kind_ends_no_request_with_a_value_of_both(kind, other):
+    # None means "not known here" in both kinds; only the kind tells them apart.
+    asker = Asker(1)
+    asker.ask(kind)
+    number = asker.sent[0].request_number
+    asker.deliver(other(number, None))
+    assert_that(asker.waiting, Equals({0}))
+    assert_that(asker.answer(0), Equals([0]))
