Count a former leader's leases from the last sight of its row

Cause: a leader counted any transaction under a fence as proof that it led, so that only the successor's fences ended what it could grant, and nothing that a follower had seen before counted. A process whose claim had applied, but not been answered, took itself for the former leader. Its claim recorded the leases before it as unknown, so that neither a confirmation nor a later record could shorten the wait.

Change: only writes of the row extend what a leader grants. The successor counts 12.6 s from when it first knew the version of the row that its claim replaced, by a read or a heartbeat. A claim records how long earlier leases hold at most, and a claim without an answer is no former leader. A process that follows an earlier one at its own address counts from its own beginning. The row `leases` says `by_row` once that holds for all leaders; after others the wait is as before, and earlier releases wait for their longest one.

Evidence: in a scratch copy, confirmation by commits put back gives "runs twice" in test_leader_grants_no_lease_by_writes_that_do_not_renew_its_row; `held` taken for `ok`, the lost claim taken for a leader and the count from the claim each fail the tests named for them. In two tests of the mark the expected mark has `by_row` now.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -96,9 +96,9 @@
         self.started_at = now
         # Until when leases granted by former leaders may hold.
         self.former_leases_end_at = now + cfg["unknown_lease_s"]
-        # The latest time at which this leader certainly led: a successor that has
-        # fenced it off did so later.
-        self.confirmed_at = now
+        # The latest time at which this leader certainly held its row, and at which the
+        # latest of its writes was sent that the store has applied.
+        self.confirmed_at = self.written_at = now
         self.writers = {
             part: commits.PartitionWriter(
                 part, version, cfg.get("row_bytes", ROW_BYTES)
@@ -155,8 +155,9 @@
 
 
 def confirm_lead(state, at):
-    """Note that this leader certainly led at ``at``."""
+    """Note that a request sent at ``at`` has renewed this leader's row."""
     state.confirmed_at = max(state.confirmed_at, at)
+    state.written_at = max(state.written_at, at)
 
 
 def bound_former_leases(state, ends_at):
@@ -228,8 +229,7 @@
     if batch is None:
         return
     if isinstance(result, commits.Applied):
-        # The partition's fence was still this leader's when the transaction applied.
-        state.confirmed_at = max(state.confirmed_at, writer.sent_at)
+        state.written_at = max(state.written_at, writer.sent_at)
     taken_s = now - writer.sent_at
     state.commit_time_s = max(taken_s, COMMIT_DECAY * state.commit_time_s)
     if batch is False:
@@ -322,7 +322,7 @@
 
     Their tasks are placed again once the partition is written.
     """
-    stuck = commits.stuck_partitions(state.writers, now, state.confirmed_at)
+    stuck = commits.stuck_partitions(state.writers, now, state.written_at)
     if stuck != state.stuck_partitions:
         log("warning", "partitions_stuck", parts=sorted(stuck))
         state.stuck_partitions, state.needs_plan = stuck, True
--- a/cornelward/leadership.py
+++ b/cornelward/leadership.py
@@ -132,9 +132,11 @@
         self.last_request_at = None
         self.renewed_at = None
         # A time at which this node certainly held the row: when the latest request was
-        # sent whose answer showed that.
+        # sent that has renewed it.
         self.confirmed_at = now
         self.claim_sent_at = None
+        # The claim of this process that has no answer and may have applied, or None.
+        self.lost_claim = None
         # The FormerLeader whose row this node has replaced, or None; and that of a
         # claim without an answer yet.
         self.former = self.claimed_from = None
@@ -289,7 +291,10 @@
     state.role = CLAIMING
     state.request_pending = True
     state.claim_sent_at = now
-    state.claimed_from = lease_marks.former_leader(row, version, mark_data)
+    if row is None or row != state.lost_claim:
+        state.claimed_from = lease_marks.former_leader(
+            row, version, mark_data, state.changed_at
+        )
     claim = LeaderRow(state.node, state.incarnation, state.address, token)
     return [ClaimLeadership(claim, version)]
 
@@ -315,6 +320,7 @@
     ``version`` is the new version of the row, or None if the claim was not applied.
     """
     state.request_pending = False
+    state.lost_claim = claim if version is None else None
     if version is None or claim.token < state.outranked_by:
         state.role = FOLLOWER
         return False
@@ -333,15 +339,18 @@
 def on_renewal_result(state, now, renewal, outcome, version):
     """Process the result of a renewal; returns whether this node still leads.
 
-    ``outcome`` is ``ok``, ``lost`` if another node holds the row, or ``failed`` if the
-    store gave no usable answer.
+    ``outcome`` is ``ok``, ``held`` if the row has an earlier renewal of this node,
+    ``lost`` if another node holds the row, or ``failed`` if the store gave no usable
+    answer.
     """
     state.request_pending = False
     if state.role != LEADER:
         return False
-    if outcome == "ok":
+    if outcome in ("ok", "held"):
         state.row, state.version, state.renewed_at = renewal.row, version, now
-        if state.last_request_at is not None:
+        # A successor counts from when it saw the row's last version, which may have
+        # been before a request that did not renew it.
+        if outcome == "ok" and state.last_request_at is not None:
             state.confirmed_at = state.last_request_at
         if renewal.mark is not None:
             lease_marks.on_mark_written(state, renewal.mark)
--- a/cornelward/lease_grants.py
+++ b/cornelward/lease_grants.py
@@ -6,6 +6,8 @@
 from .workers import CLOCK_DRIFT, LEASE_EXPIRY_MARGIN_S
 
 __all__ = [
+    "FORMER_LEASE_S",
+    "FORMER_MARGIN_S",
     "GRANT_HORIZON_S",
     "assume_longest_lease",
     "end_former_leases",
@@ -20,6 +22,12 @@
 # successor knows a bound of all of them. Workers keep their runs in a store outage that
 # is about two seconds shorter.
 GRANT_HORIZON_S = 12.0
+# Added to a lease that a former leader granted: the time to kill tasks, and the
+# difference between the nodes' clocks.
+FORMER_MARGIN_S = 0.6
+# The leases of a former leader have expired this long after a time at which it had
+# certainly renewed its row for the last time.
+FORMER_LEASE_S = GRANT_HORIZON_S + FORMER_MARGIN_S
 # The lease of a worker that did not answer this many polls in a row is recorded, and
 # that of at most so many workers, as a row has a limited size.
 SILENT_POLLS = 2
--- a/cornelward/lease_marks.py
+++ b/cornelward/lease_marks.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from .lease_grants import FORMER_LEASE_S
+
 __all__ = [
     "FormerLeader",
     "LeaseMark",
@@ -26,20 +28,30 @@
     expire within ``earlier_leases_s`` after this was written; None if that is not
     known. Those of the workers in ``silent`` (worker id ->
     seconds) expire so soon, whoever granted them.
+
+    ``by_row`` says that the leases of all these leaders are bounded by what was written
+    to the leader's row alone: see ``FormerLeader.leases_end_at``.
     """
 
     token: int
     earlier_leases_s: float | None
     silent: dict[str, float] = {}  # noqa: RUF012
+    by_row: bool = False
 
 
 class FormerLeader(NamedTuple):
-    """The row that a leader has replaced, if readable, and what its LeaseMark says."""
+    """The row that a leader has replaced, if readable, and what its LeaseMark says.
+
+    ``leases_end_at`` is when the leases of that leader and of all before it have
+    expired, by when the row was first known to have its last version; None if they are
+    not bounded by the row.
+    """
 
     row: Any
     is_bounded: bool
     earlier_leases_s: float | None
     silent: Any = ()
+    leases_end_at: float | None = None
 
 
 def encode_mark(mark):
@@ -50,8 +62,11 @@
 _mark_decoder = msgspec.msgpack.Decoder(LeaseMark)
 
 
-def former_leader(row, version, mark_data):
-    """Return the FormerLeader with this row; None if there is no row."""
+def former_leader(row, version, mark_data, seen_at):
+    """Return the FormerLeader with this row; None if there is no row.
+
+    The row was known to have this ``version`` at ``seen_at``.
+    """
     if not version:
         return None
     if row is None:
@@ -62,15 +77,19 @@
         mark = LeaseMark(0, None)
     if mark.token != row.token:
         return FormerLeader(row, False, None)
-    return FormerLeader(row, True, mark.earlier_leases_s, mark.silent)
+    leases_end_at = seen_at + FORMER_LEASE_S if mark.by_row else None
+    return FormerLeader(row, True, mark.earlier_leases_s, mark.silent, leases_end_at)
 
 
 def claim_mark(state, claim):
     """Return the LeaseMark to write with a claim, no one's after unbounded leases."""
     former = state.claimed_from
-    is_bounded = former is None or former.is_bounded
-    earlier_leases_s = 0.0 if former is None else None
-    return LeaseMark(claim.token if is_bounded else 0, earlier_leases_s)
+    if former is None:
+        return LeaseMark(claim.token, 0.0, by_row=True)
+    if former.leases_end_at is None:
+        return LeaseMark(claim.token if former.is_bounded else 0, None)
+    left_s = max(0.0, former.leases_end_at - state.claim_sent_at)
+    return LeaseMark(claim.token, left_s, by_row=True)
 
 
 def renewed_mark(state, now):
@@ -81,9 +100,11 @@
     if ends_at is None or is_known:
         return None
     state.silent_recorded = state.silent_recorded or bool(silent)
-    is_bounded = state.former is None or state.former.is_bounded or now >= ends_at
+    former, has_expired = state.former, now >= ends_at
+    is_bounded = former is None or former.is_bounded or has_expired
+    by_row = former is None or former.leases_end_at is not None or has_expired
     token = state.row.token if is_bounded else 0
-    return LeaseMark(token, max(0.0, ends_at - now), silent)
+    return LeaseMark(token, max(0.0, ends_at - now), silent, by_row)
 
 
 def on_mark_written(state, mark):
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -68,6 +68,7 @@
         self.store = deps.store
         self.peers = deps.peers
         self.incarnation = incarnation
+        self.began_at = clock()
         self.rng = rng
         self.address = settings.peer_address
         self.is_weak = (
@@ -223,7 +224,7 @@
                 node.settings.node,
                 node.incarnation,
             )
-            outcome = "ok" if is_own else "lost"
+            outcome = "held" if is_own else "lost"
             version = found
             renewed = effect._replace(row=row, mark=None) if is_own else effect
         if isinstance(result, Applied):
@@ -233,7 +234,7 @@
         )
         if not still_leads:
             lose_leadership(node, "another node holds the leader row")
-        elif outcome == "ok" and node.leader is not None:
+        elif outcome in ("ok", "held") and node.leader is not None:
             node_heartbeats.on_row_renewed(node)
 
     _write_leader(node, effect, effect.mark, done)
--- a/cornelward/node_former.py
+++ b/cornelward/node_former.py
@@ -9,7 +9,7 @@
 import math
 
 from . import dispatch, dispatch_polls
-from .lease_grants import GRANT_HORIZON_S
+from .lease_grants import FORMER_LEASE_S, FORMER_MARGIN_S
 from .log import get_logger
 from .messages import FormerLeaderQuery, FormerLeaderReply
 
@@ -29,9 +29,6 @@
 # Worker leases are renewed with every poll. They outlast a takeover and a crash of all
 # nodes.
 LEASE_S = 6.0
-# Added to a lease that a former leader granted: the time to kill tasks, and the
-# difference between the nodes' clocks.
-MARGIN_S = 0.6
 # Earlier releases extended leases for this long without the store.
 EARLIER_OUTAGE_S = 12.0
 QUERY_INTERVAL_S = 0.3
@@ -45,16 +42,19 @@
 def unknown_lease_s(node, term, now):
     """Return how long leases of former leaders may hold for a leader that begins now.
 
-    The rows are fenced off, so that no former leader can have led later.
+    The rows are fenced off, so that no former leader can have led later. One that is
+    bounded by its row certainly renewed that no later than it was claimed.
     """
     former = node.leadership.former
     if former is None:
         return 0.0
     if not former.is_bounded:
         longest_s = node.settings.longest_lease_s
-        return EARLIER_OUTAGE_S + longest_s * 1.02 + MARGIN_S
-    confirmed_s = _confirmed_end(node, term) - now
-    return max(0.0, min(GRANT_HORIZON_S + MARGIN_S, confirmed_s))
+        return EARLIER_OUTAGE_S + longest_s * 1.02 + FORMER_MARGIN_S
+    ends_at = now + FORMER_LEASE_S
+    if former.leases_end_at is not None:
+        ends_at = former.leases_end_at
+    return max(0.0, min(ends_at, _confirmed_end(node, term)) - now)
 
 
 def _confirmed_end(node, term):
@@ -63,7 +63,8 @@
     earlier_s = state.former.earlier_leases_s
     if term.former_ended_at is None or earlier_s is None:
         return math.inf
-    ends_at = term.former_ended_at + granted_lease_s(node.settings) + MARGIN_S
+    lease_s = granted_lease_s(node.settings)
+    ends_at = term.former_ended_at + lease_s + FORMER_MARGIN_S
     # The row was read before the claim was sent.
     return max(ends_at, state.claim_sent_at + earlier_s)
 
@@ -80,7 +81,9 @@
         return
     row = state.former.row
     if (row.node, row.address) == (node.settings.node, node.address):
-        _note_end(node, term, now)
+        # An earlier process at this address ended before this one began.
+        is_own = row.incarnation == node.incarnation
+        _note_end(node, term, now if is_own else node.began_at)
     elif dispatcher is not None and now >= term.ask_former_at:
         term.ask_former_at = now + QUERY_INTERVAL_S
         node.peers.send(row.address, FormerLeaderQuery(node.address, term.token))
@@ -134,9 +137,9 @@
     return former.earlier_leases_s is not None
 
 
-def _note_end(node, term, now):
-    term.former_ended_at = now
-    log("info", "former_leader_ended", after_s=round(now - term.started_at, 2))
+def _note_end(node, term, ended_at):
+    term.former_ended_at = ended_at
+    log("info", "former_leader_ended", after_s=round(ended_at - term.started_at, 2))
     if term.dispatcher is not None:
         dispatch.bound_former_leases(term.dispatcher, _confirmed_end(node, term))
 
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -323,7 +323,8 @@
     """The shell of a leader; it does nothing while ``frozen`` or once ``dead``.
 
     While ``cut`` it does not reach the store, while ``isolated`` no other leader
-    reaches it. One that is dead is followed by another process at its address from
+    reaches it; while ``cannot_renew`` the store takes all its writes but those to its
+    row. One that is dead is followed by another process at its address from
     ``restart_at`` on.
     """
 
@@ -332,7 +333,7 @@
         self.token = token
         self.frozen = False
         self.dead = False
-        self.cut = self.isolated = False
+        self.cut = self.isolated = self.cannot_renew = False
         self.restart_at = None
         self.core = None
         # The former leader while it has not confirmed its end, and by when all leases
@@ -344,6 +345,8 @@
         # The leases of silent workers that it has recorded.
         self.silent = {}
         self.renewed_at = self.asked_at = sim.now
+        # When the row was last written, by this leader's claim or a renewal.
+        self.row_written_at = sim.now
         # Whether a renewal is under way.
         self.renews = False
         self.deferred = []
@@ -361,15 +364,15 @@
             "lease_s": LEASE_S,
             "stop_s": STOP_S,
             "longest_lease_s": LONGEST_LEASE_S,
-            "unknown_lease_s": UNKNOWN_LEASE_S if len(sim.leaders) > 1 else 0.0,
+            "unknown_lease_s": self._former_lease_s(),
             "cap_overage": CAP_OVERAGE,
             **sim.cfg,
         }
         self.core = dispatch.Dispatcher(self.token, fences, cfg, sim.now)
         if len(sim.leaders) > 1:
             former = sim.leaders[-2]
-            self.earlier_leases_s = None
-            if sim.asks_former and former.earlier_leases_s is not None:
+            self.earlier_leases_s = self._former_lease_s()
+            if sim.asks_former:
                 self.former = former
                 self.earlier_end_at = sim.now + former.earlier_leases_s
         if sim.is_configured:
@@ -395,6 +398,17 @@
                 )
         self._tick()
 
+    def _former_lease_s(self):
+        """Return for how long leases of former leaders may hold.
+
+        It counts from the writing of the row, the earliest time at which a node can
+        have seen it.
+        """
+        if len(self.sim.leaders) < 2:
+            return 0.0
+        written_at = self.sim.leaders[-2].row_written_at
+        return max(0.0, written_at + UNKNOWN_LEASE_S - self.sim.now)
+
     def _tick(self):
         if self.dead or self.core.fenced_off:
             return
@@ -415,10 +429,12 @@
         silent = dispatch_polls.record_silent_leases(self.core, sent_at)
 
         def apply():
-            if sim.store.down or self.cut or sim.leader is not self:
+            is_refused = sim.store.down or self.cut or self.cannot_renew
+            if is_refused or sim.leader is not self:
                 self.renews = False
                 return
             self.earlier_leases_s, self.silent = earlier_s, silent
+            self.row_written_at = sim.now
             sim.after(RENEWAL_S, lambda: self._handle_answer(confirm))
 
         def confirm():
--- a/tests/test_former_leases.py
+++ b/tests/test_former_leases.py
@@ -150,6 +150,27 @@
     assert_that(attempts, Equals([1] * 6))
 
 
+def test_leader_grants_no_lease_by_writes_that_do_not_renew_its_row():
+    # Its successor counts from when it saw the row's last version.
+    sim = Sim(1, workers=9)
+    former = lose_leader_and_workers(sim)
+    lost = [worker for worker in sim.workers.values() if worker.silent]
+    for worker in lost:
+        worker.silent = False
+    sim.run(1.0)
+    former.cannot_renew = True
+    for number in range(8):
+        sim.submit(f"{number:016x}", steps_of(1, estimate_s=0.3))
+        sim.run(1.0)
+    former.cut = former.isolated = True
+    for worker in sim.workers.values():
+        worker.cut_from.add(2 if worker in lost else 1)
+    sim.start_leader()
+    sim.run(8.0)
+    assert_that(running(sim, sim.leader), HasLength(6))
+    assert_that(sim.violations, Equals([]))
+
+
 def test_first_of_two_former_leaders_may_go_on():
     # It is cut off from the store and from the nodes, and reaches workers that its
     # successors do not; only the second former leader has certainly ended.
@@ -336,6 +357,7 @@
     row = leadership.LeaderRow("n0", 5, FORMER, 6)
     node = SimpleNamespace(address="10.0.0.1:1", sent=[], lost=[], now=100.0)
     node.settings = SimpleNamespace(node="n1", longest_lease_s=LONGEST_LEASE_S)
+    node.incarnation, node.began_at = 8, 98.0
     node.peers = SimpleNamespace(
         send=lambda address, message: node.sent.append((address, message)),
         disconnect=lambda address: None,
@@ -377,6 +399,18 @@
     assert_that(waits_for_s(node), Equals(LEASE_S + 0.6))
 
 
+@pytest.mark.parametrize(("incarnation", "ended_at"), [(7, 98.0), (8, 100.0)])
+def test_earlier_process_of_the_node_ended_before_this_one_began(
+    node, incarnation, ended_at
+):
+    row = leadership.LeaderRow("n1", incarnation, node.address, 6)
+    state = node.leadership
+    state.former = state.former._replace(row=row)
+    node_former.tick(node, node.leader, node.now)
+    wait_s = ended_at + LEASE_S + 0.6 - node.now
+    assert_that(waits_for_s(node), Equals(round(wait_s, 3)))
+
+
 @pytest.mark.parametrize(
     ("former", "wait_s"),
     [
@@ -385,6 +419,10 @@
         ({"earlier_leases_s": None}, UNKNOWN_LEASE_S),
         ({"earlier_leases_s": 9.0}, 8.5),
         ({"earlier_leases_s": 3.0}, LEASE_S + 0.6),
+        # Bounded by the row, which had its last version 7.5 s ago.
+        ({"earlier_leases_s": 9.0, "leases_end_at": 105.1}, 5.1),
+        ({"earlier_leases_s": 0.0, "leases_end_at": 112.1}, LEASE_S + 0.6),
+        ({"earlier_leases_s": 0.0, "leases_end_at": 99.0}, 0.0),
         # An earlier release, which bounds its leases in another way.
         (
             {"is_bounded": False, "earlier_leases_s": None},
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -20,6 +20,7 @@
     Leadership,
     encode_row,
 )
+from cornelward.lease_grants import FORMER_LEASE_S
 from cornelward.lease_marks import LeaseMark
 
 
@@ -199,6 +200,55 @@
     assert_that(follower.confirmed_at, Equals(7.0))
 
 
+def test_write_that_finds_an_earlier_renewal_shows_no_later_time(follower):
+    # A successor may have seen that renewal's version long before.
+    claim_after(follower, 1.0, row(node="n1"), None)
+    (renewal,) = leadership.tick(follower, 7.0)
+    assert leadership.on_renewal_result(follower, 7.1, renewal, "held", 9)
+    assert_that((follower.confirmed_at, follower.version), Equals((1.0, 9)))
+
+
+def test_leases_of_a_former_leader_count_from_when_its_row_was_seen(follower):
+    # A successor counted 12.6 s from its claim, also after a store outage in which
+    # the row had not been renewed for seconds (nvb-sentral-grown, LOST).
+    mark = lease_marks.encode_mark(LeaseMark(3, 0.0, by_row=True))
+    leadership.on_heartbeat(follower, 2.0, "10.0.0.9:1", 0.1, 3, version=7)
+    leadership.on_row_read(follower, 6.0, None, None)
+    (effect,) = leadership.on_row_read(follower, 9.0, (row(), 7), mark)
+    former = follower.claimed_from
+    assert_that(former.leases_end_at, Equals(2.0 + FORMER_LEASE_S))
+    claimed = lease_marks.claim_mark(follower, effect.row)
+    left_s = 2.0 + FORMER_LEASE_S - 9.0
+    assert_that(claimed, Equals(LeaseMark(4, left_s, by_row=True)))
+
+
+def test_claim_whose_answer_was_lost_is_no_former_leader(follower):
+    # This process never led under it; the leader before it has to confirm its end.
+    mark = lease_marks.encode_mark(LeaseMark(3, 0.0, by_row=True))
+    leadership.on_heartbeat(follower, 2.0, "10.0.0.9:1", 0.1, 3, version=7)
+    (lost,) = leadership.on_row_read(follower, 3.0, (row(), 7), mark)
+    data = lease_marks.encode_mark(lease_marks.claim_mark(follower, lost.row))
+    former = follower.claimed_from
+    leadership.on_claim_result(follower, 4.0, lost.row, None)
+    found = encode_row(lost.row)
+    (effect,) = leadership.on_row_read(follower, 4.1, (found, 8), data)
+    assert leadership.on_claim_result(follower, 4.2, effect.row, 9)
+    assert_that((follower.former, effect.row.token), Equals((former, 5)))
+
+
+def test_leases_are_bounded_by_the_row_once_those_of_an_earlier_release_ended(follower):
+    for by_row in (False, True):
+        mark = lease_marks.encode_mark(LeaseMark(3, 0.0, by_row=by_row))
+        former = claim_after(follower, 1.0, row(node="n1"), mark)
+        assert_that(former.leases_end_at is not None, Is(by_row))
+        marks = [lease_marks.claim_mark(follower, follower.row)]
+        follower.former_leases_end_at = 9.0
+        marks += [lease_marks.renewed_mark(follower, now) for now in (8.0, 9.0)]
+        found = [one.by_row for one in marks]
+        assert_that(found, Equals([by_row, by_row, True]))
+        leadership.step_down(follower, 9.5)
+
+
 def test_leases_of_earlier_leaders_are_known_only_from_the_mark_of_the_latest(follower):
     former = claim_after(follower, 1.0, row(token=3, node="n1"), None)
     assert_that(former[1:3], Equals((False, None)))
@@ -244,11 +294,11 @@
     assert_that(renewal.mark, Equals(LeaseMark(0, 0.5)))
     leadership.on_renewal_result(follower, 7.1, renewal, "ok", 10)
     (renewal,) = leadership.tick(follower, 8.0)
-    assert_that(renewal.mark, Equals(LeaseMark(4, 0.0)))
+    assert_that(renewal.mark, Equals(LeaseMark(4, 0.0, by_row=True)))
     # Another answer shows the row, but not whether the mark was written.
     leadership.on_renewal_result(follower, 8.1, renewal._replace(mark=None), "ok", 11)
     (renewal,) = leadership.tick(follower, 8.6)
-    assert_that(renewal.mark, Equals(LeaseMark(4, 0.0)))
+    assert_that(renewal.mark, Equals(LeaseMark(4, 0.0, by_row=True)))
     leadership.on_renewal_result(follower, 8.7, renewal, "ok", 12)
     (renewal,) = leadership.tick(follower, 9.2)
     assert_that(renewal.mark, Is(None))
@@ -261,7 +311,7 @@
     for number, silent in enumerate(({"w1": 3.0}, {"w1": 2.6}, {})):
         follower.silent_leases = silent
         (renewal,) = leadership.tick(follower, 7.0 + number)
-        assert_that(renewal.mark, Equals(LeaseMark(4, 0.0, silent)))
+        assert_that(renewal.mark, Equals(LeaseMark(4, 0.0, silent, by_row=True)))
         leadership.on_renewal_result(follower, 7.1 + number, renewal, "ok", 9 + number)
     (renewal,) = leadership.tick(follower, 10.0)
     assert_that(renewal.mark, Is(None))
