Test that probation ends on workers with lasting tasks

With the former condition (`worker.runs` in place of `has_probe`) put back in a scratch copy the new test fails with 5 of 8 tasks running, and no other test of planning does. With the fix it passes.

--- a/tests/test_planning_waits.py
+++ b/tests/test_planning_waits.py
@@ -120,6 +120,33 @@
     assert_that(sim.leader.core.workers["w0"].failures, LessThan(1))
 
 
+def fail_workers(sim, seconds):
+    """Let three workers fail what they start, in a flow of small jobs."""
+    sim.failing = {"w0", "w1", "w2"}
+    for i in range(int(seconds * 4)):
+        at, steps = i * 0.25, steps_of(5, cpu=24_000, estimate_s=0.3)
+        sim.after(at, lambda j=f"c{i:015x}", s=steps: sim.submit(j, s))
+    sim.run(seconds)
+    sim.failing = set()
+
+
+def one_a_worker():
+    return StepSpec(
+        8, 1_000, 256, estimate_s=900.0, max_per_worker=1, long_running=True
+    )
+
+
+def test_probation_ends_beside_lasting_tasks():
+    # Nothing was started on a worker on probation while any run was on it, and a
+    # lasting task's run never ends: a later job had tasks on sound workers alone.
+    sim = start_cell(1)
+    submit_lasting(sim, 8, max_per_worker=1, cpu=1_000, memory_mb=256)
+    fail_workers(sim, 5.0)
+    sim.submit(GANG, [one_a_worker()])
+    sim.run(6.0)
+    assert_that(running(sim, GANG), HasLength(8))
+
+
 HIGH, LOW = (Queue(name, "svc", p, 4, 2.0, 1.0) for name, p in (("h", 1), ("l", 2)))
 # Of these all jobs are late when their second step is ready.
 LATE_HIGH, LATE_LOW = (queue._replace(stretch=0.1, slo_s=0.1) for queue in (HIGH, LOW))
