Avoid workers that fail for two seconds at most

What callers saw: three workers fail all that they start for 10 s and are sound again; a job of eight lasting tasks, one a worker, has five of them running 6 s later. The rule about lasting tasks allows 9 s since the last run, that about others 3 s beside free room.

Cause: the avoidance after failures of several jobs, or refused starts, doubled up to 20 s, and nothing ends it earlier.

Change: 2 s at most.

Evidence: the new test fails with 20 s (5 of 8) and passes with 2 s.

--- a/cornelward/worker_health.py
+++ b/cornelward/worker_health.py
@@ -21,7 +21,7 @@
 # A worker that fails or rejects runs is avoided for a period that doubles from the
 # minimum up to the maximum; for the only job that fails there, always for the minimum.
 AVOID_MIN_S = 1.0
-AVOID_MAX_S = 20.0
+AVOID_MAX_S = 2.0
 # A worker is avoided from this number of consecutive failures; fewer are attributed to
 # the tasks.
 FAILURES_TO_AVOID = 3
--- a/tests/test_planning_waits.py
+++ b/tests/test_planning_waits.py
@@ -147,6 +147,16 @@
     assert_that(running(sim, GANG), HasLength(8))
 
 
+def test_lasting_tasks_do_not_wait_for_long_for_workers_that_are_sound_again():
+    # Workers that had failed for 10 s were avoided for 7 s more. A task that lasts
+    # has to run again within 9 s of its last run.
+    sim = start_cell(1)
+    fail_workers(sim, 10.5)
+    sim.submit(LASTING, [one_a_worker()])
+    sim.run(6.0)
+    assert_that(running(sim, LASTING), HasLength(8))
+
+
 HIGH, LOW = (Queue(name, "svc", p, 4, 2.0, 1.0) for name, p in (("h", 1), ("l", 2)))
 # Of these all jobs are late when their second step is ready.
 LATE_HIGH, LATE_LOW = (queue._replace(stretch=0.1, slo_s=0.1) for queue in (HIGH, LOW))
