--- a/tests/fixtures_node.py
+++ b/tests/fixtures_node.py
@@ -113,6 +113,10 @@
         """Return the state that a node shows for a job."""
         return (self.call(node, "GET", f"/jobs/{job_id}").json() or {}).get("state")
 
+    def encode_job(self, steps):
+        """Return the body of a submission."""
+        return msgspec.json.encode({"spec": "text", "steps": steps})
+
     def submit(self, node, job_id, steps, key=None, **fields):
         """Submit a job and return the HTTP status."""
         body = {"spec": "text", "steps": steps, **fields}
