End the question for room once room is found

Cause: since each step that waits for a node of the policy service is checked for room in each pass, and that listed the slots of all workers, where one is enough.

Change: the check ends at the first slot, or for a gang once its tasks fit. What it answers is the same.

The new test counts examined workers: 301 before, 2 after.

--- a/cornelward/asked_workers.py
+++ b/cornelward/asked_workers.py
@@ -6,7 +6,7 @@
 from .planning import (
     count_fitting_tasks,
     fits_nowhere,
-    slots_by_worker,
+    iter_slots,
     tasks_by_worker_of,
 )
 from .workers import demand_of
@@ -69,9 +69,12 @@
         return False
     step = candidate.job.spec.steps[candidate.key[1]]
     with_tickets = candidate._replace(allowed=dict.fromkeys(ids, ""))
-    slots = slots_by_worker(capacity, with_tickets, service)
-    least = len(candidate.tasks) if step.gang else 1
-    return sum(count for _, count, _ in slots) >= least
+    missing = len(candidate.tasks) if step.gang else 1
+    for _, count, _ in iter_slots(capacity, with_tickets, service):
+        missing -= count
+        if missing <= 0:
+            return True
+    return False
 
 
 def can_fit(capacity, candidate, ids):
--- a/cornelward/planning.py
+++ b/cornelward/planning.py
@@ -179,20 +179,13 @@
             yield worker, ticket
 
 
-def slots_by_worker(capacity, candidate, service, max_workers=None):
-    """Return [(worker, number of tasks that fit, ticket)] for a candidate's step.
-
-    With ``max_workers`` the search stops once it has found that many workers and
-    capacity for all tasks, unless the step prefers a rack or needs tickets.
-    """
+def iter_slots(capacity, candidate, service):
+    """Yield (worker, number of tasks that fit, ticket) for a candidate's step."""
     job, key = candidate.job, candidate.key
     step = job.spec.steps[key[1]]
     demand = demand_of(step)
     tasks_by_worker = tasks_by_worker_of(job, key) if step.max_per_worker else {}
     passes = passes_reservations(capacity, job, step)
-    if step.near_rack or candidate.allowed is not None:
-        max_workers = None
-    found, total = [], 0
     for worker, ticket in _eligible(capacity, candidate, service, step, demand):
         if not _may_use(capacity, worker, step, passes):
             continue
@@ -201,10 +194,23 @@
             count = min(
                 count, step.max_per_worker - tasks_by_worker.get(worker.info.id, 0)
             )
-        if count <= 0:
-            continue
-        found.append((worker, count, ticket))
-        total += count
+        if count > 0:
+            yield worker, count, ticket
+
+
+def slots_by_worker(capacity, candidate, service, max_workers=None):
+    """Return the list of ``iter_slots``.
+
+    With ``max_workers`` the search stops once it has found that many workers and
+    capacity for all tasks, unless the step prefers a rack or needs tickets.
+    """
+    step = candidate.job.spec.steps[candidate.key[1]]
+    if step.near_rack or candidate.allowed is not None:
+        max_workers = None
+    found, total = [], 0
+    for slot in iter_slots(capacity, candidate, service):
+        found.append(slot)
+        total += slot[1]
         if max_workers and len(found) >= max_workers and total >= len(candidate.tasks):
             break
     return found
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -6,7 +6,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from cornelward import dispatch, objectives, planning, queue_index
+from cornelward import asked_workers, dispatch, objectives, planning, queue_index
 from cornelward.planning import (
     Candidate,
     FreeCapacity,
@@ -200,3 +200,16 @@
     # The runs that fill the worker before its first failure fail in any case.
     unknown = 3 * 8
     assert_that(2 * (with_probation - unknown), LessThan(without_probation - unknown))
+
+
+def test_question_for_room_ends_once_room_is_found():
+    # Each step that waited for a free node had all workers examined in each pass.
+    ids = [f"w{i}" for i in range(300)]
+    capacity = capacity_of(*(make_worker(worker_id, cpu=8_000) for worker_id in ids))
+    for step, examined in ((StepSpec(9, 2_000), 1), (StepSpec(9, 2_000, gang=True), 3)):
+        candidate = candidate_of(step)
+        assert not planning.fits_nowhere(capacity, candidate, "svc")
+        capacity.examined = 0
+        assert asked_workers.has_room(capacity, candidate, "svc", ids)
+        # One more by ``fits_nowhere``, which has_room begins with.
+        assert_that(capacity.examined, Equals(examined + 1))
