Drop a leader's starts that may reach a later life of their worker

A start waited 1 s for its turn among the commands to one worker, which restarted within 1.1 s meanwhile. Its new life kept the run for the longest lease, of which the successor of the killed leader did not know.

Cause: a start relied on an answer up to 1 s old when it was decided on, and on nothing after that. The command was then queued for up to 1 s, and a relayed start that came back unsent was sent as it was.

Change: a Start names the time by which it has to be sent, 1.05 s after the worker's latest answer. One that is too late is not sent; it waits for the next answer, and the worker is not avoided for it.

Evidence: without the limit test_successor_that_never_hears[start_in_turn] fails, as the late starts reach restarted workers, and with it it passes.

--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -29,6 +29,7 @@
 from .dispatch_starts import (
     discard_unrecorded_starts,
     recheck_starts,
+    retry_late_start,
     send_start,
 )
 from .dispatch_tasks import mark_dirty, request_stop, retry_stops
@@ -61,6 +62,7 @@
     "plan",
     "recheck_starts",
     "restore_job",
+    "retry_late_start",
     "set_config",
     "state_of",
     "step",
--- a/cornelward/dispatch_effects.py
+++ b/cornelward/dispatch_effects.py
@@ -28,13 +28,15 @@
 class Start(NamedTuple):
     """Request to start ``run``.
 
-    ``deadline_s`` is the end of the worker's lease, on the worker's clock.
+    ``deadline_s`` is the end of the worker's lease, on the worker's clock. After
+    ``send_by``, on this node's clock, the worker may have restarted unseen.
     """
 
     run: Any
     address: str
     deadline_s: float
     ticket: str
+    send_by: float
 
 
 class Stop(NamedTuple):
--- a/cornelward/dispatch_starts.py
+++ b/cornelward/dispatch_starts.py
@@ -10,6 +10,7 @@
 __all__ = [
     "discard_unrecorded_starts",
     "recheck_starts",
+    "retry_late_start",
     "send_start",
     "send_waiting_starts",
     "withdraw_waiting_starts",
@@ -48,7 +49,19 @@
     run.sent_at = now
     run.awaits_answer = True
     run.deadline_s = _grant_lease(state, now, worker)
-    state.effects.append(Start(run, worker.info.address, run.deadline_s, ticket))
+    start = Start(run, worker.info.address, run.deadline_s, ticket, _send_by(worker))
+    state.effects.append(start)
+
+
+def retry_late_start(state, run, ticket):
+    """Let a start that was not sent in time wait for the worker's next answer."""
+    worker = state.workers.get(run.worker)
+    if worker is not None and run.state == worker_table.SENT:
+        _wait_for_answer(state, worker, run, ticket)
+
+
+def _send_by(worker):
+    return worker.answered_at + worker_table.MAX_START_AGE_S
 
 
 def discard_unrecorded_starts(state, now, partitions):
@@ -123,5 +136,6 @@
             _wait_for_answer(state, worker, run, effect.ticket)
         else:
             run.deadline_s = _grant_lease(state, now, worker)
-            valid.append(effect._replace(deadline_s=run.deadline_s))
+            start = effect._replace(deadline_s=run.deadline_s, send_by=_send_by(worker))
+            valid.append(start)
     return valid
--- a/cornelward/node_starts.py
+++ b/cornelward/node_starts.py
@@ -4,6 +4,8 @@
 row: another node may have taken over meanwhile.
 """
 
+import math
+
 from . import dispatch, dispatch_runs
 from .log import get_logger
 from .messages import StartOrder, StartOrders, StartResults
@@ -126,11 +128,17 @@
 
 def _start(node, term, effect):
     def done(answer):
-        _report(node, term, effect.run, answer)
+        if answer == "too_late" and not term.closed:
+            dispatch.retry_late_start(term.dispatcher, effect.run, effect.ticket)
+            node.deps.schedule_step(node)
+        else:
+            _report(node, term, effect.run, answer)
 
     _log_start(effect.run, node.settings.node)
     payload = effect.run.job.spec.payload
-    node.deps.worker_commands.start(_order_of(effect), payload, term.token, done)
+    node.deps.worker_commands.start(
+        _order_of(effect), payload, term.token, effect.send_by, done
+    )
 
 
 def _relay(node, term, address, batch):
@@ -219,5 +227,9 @@
 
     for order in message.orders:
         node.deps.relayed_commands.start(
-            order, payload, message.token, lambda answer, o=order: done(o, answer)
+            order,
+            payload,
+            message.token,
+            math.inf,
+            lambda answer, o=order: done(o, answer),
         )
--- a/cornelward/platform/worker_commands.py
+++ b/cornelward/platform/worker_commands.py
@@ -1,6 +1,8 @@
 """Client of the workers (the platform's executors) and of the policy service."""
 
 import collections
+import math
+import time
 from typing import Annotated, Any, NamedTuple
 
 import msgspec
@@ -54,13 +56,15 @@
 class WorkerCommands(NamedTuple):
     """Functions ``start``, ``stop`` and ``poll``.
 
-    ``start(order, payload, token, on_done)`` takes a StartOrder, ``stop(effect, token,
-    on_done)`` and ``poll(effect, token, on_done)`` an effect. ``token`` is the leader's
-    fencing token. ``on_done`` gets the result:
+    ``start(order, payload, token, send_by, on_done)`` takes a StartOrder and the time
+    by which it has to be sent, ``stop(effect, token, on_done)`` and ``poll(effect,
+    token, on_done)`` an effect. ``token`` is the leader's fencing token. ``on_done``
+    gets the result:
 
-    - ``start``: ``ok``, ``unsent`` (the command was not sent), ``unknown`` (there was
-      no response), ``gone`` (the executor has restarted), ``status N`` for another HTTP
-      status, or the reason of the rejection;
+    - ``start``: ``ok``, ``unsent`` (the command was not sent), ``too_late`` (nor was
+      it, as ``send_by`` was over), ``unknown`` (there was no response), ``gone`` (the
+      executor has restarted), ``status N`` for another HTTP status, or the reason of
+      the rejection;
     - ``stop``: whether the stop was acknowledged;
     - ``poll``: a PollReport, ``gone``, ``fence`` for an outdated token, or None if the
       call failed.
@@ -88,7 +92,8 @@
 
     A worker closes connections beyond its limit, and those of instances that lost power
     stay open for a while: a step with many tasks on it must not open one for each. A
-    command that waited too long is not sent, as its sender may lead no more.
+    command that waited too long is not sent, as its sender may lead no more; nor is one
+    whose ``send_by``, the last argument but one, is over.
     """
     queues = {}
 
@@ -109,7 +114,7 @@
             if now() - queued_at <= MAX_QUEUED_S:
                 send(queue, *args)
                 return
-            args[-1](HttpResult(None, {}, b"", "too_late", False))
+            args[-1](HttpResult(None, {}, b"", "queued", False))
         if not queue.sent:
             queues.pop(address, None)
 
@@ -129,7 +134,7 @@
     ``observe(operation, outcome, seconds)`` is called at the end of each command.
     """
 
-    def call(operation, address, path, body, worker, timeout_s, on_done):
+    def call(operation, address, path, body, worker, timeout_s, send_by, on_done):
         sent_at = now()
 
         def finish(result):
@@ -149,6 +154,8 @@
             value=body,
             headers=headers,
             timeout_s=timeout_s,
+            # The client counts on another clock.
+            send_by=time.monotonic() + send_by - sent_at,
         )
 
     limited = _limit_parallel(call, now)
@@ -187,7 +194,7 @@
 
 
 def _make_start(call):
-    def start(order, payload, token, on_done):
+    def start(order, payload, token, send_by, on_done):
         body = {
             "task": order.task,
             "run": order.attempt,
@@ -201,7 +208,9 @@
             body["last_checkpoint"] = order.checkpoint
 
         def finish(result):
-            if result.status is None:
+            if result.error == "too_late":
+                on_done("too_late")
+            elif result.status is None:
                 on_done("unknown" if result.sent else "unsent")
             elif result.status == 200:
                 on_done("ok")
@@ -219,6 +228,7 @@
             body,
             order.worker,
             COMMAND_TIMEOUT_S,
+            send_by,
             finish,
         )
 
@@ -244,6 +254,7 @@
             body,
             effect.worker,
             COMMAND_TIMEOUT_S,
+            math.inf,
             finish,
         )
 
@@ -269,7 +280,16 @@
                 on_done(_decode_report(result) if result.status == 200 else None)
 
         timeout_s = effect.wait_s + COMMAND_TIMEOUT_S
-        call("look", effect.address, "/hold", body, effect.worker, timeout_s, finish)
+        call(
+            "look",
+            effect.address,
+            "/hold",
+            body,
+            effect.worker,
+            timeout_s,
+            math.inf,
+            finish,
+        )
 
     return poll
 
--- a/cornelward/workers.py
+++ b/cornelward/workers.py
@@ -45,6 +45,9 @@
 # A worker may have restarted since its latest answer if that is older. Longer than the
 # interval between polls.
 FRESH_ANSWER_S = 1.0
+# A start is sent no later than this after the worker's latest answer, so that it does
+# not reach a later life: a worker that restarts is away for longer.
+MAX_START_AGE_S = 1.05
 
 # States of a run.
 RECORDING, SENT, ACTIVE = "recording", "sent", "active"
