--- a/tests/test_silent_ways.py
+++ b/tests/test_silent_ways.py
@@ -108,8 +108,11 @@
         self.begun_at.setdefault(task.split(".")[0], self.sim.now)
         self.send_start(self.effects[task, attempt])
 
-    def start_directly(self, order, payload, token, on_done):
-        self.begin(order.task, order.attempt)
+    def start_directly(self, order, payload, token, send_by, on_done):
+        if self.sim.now > send_by:
+            on_done("too_late")
+        else:
+            self.begin(order.task, order.attempt)
 
     def carry_out(self, message):
         results = [(o.worker, o.task, o.attempt, "ok") for o in message.orders]
