--- a/cornelward/node_former.py
+++ b/cornelward/node_former.py
@@ -42,8 +42,8 @@
 def unknown_lease_s(node, term, now):
     """Return how long leases of former leaders may hold for a leader that begins now.
 
-    The rows are fenced off, so that no former leader can have led later. One that is
-    bounded by its row certainly renewed that no later than it was claimed.
+    The rows are fenced off, so that no former leader can have led later. Leases that
+    are bounded by the former leader's row count from when that was last seen renewed.
     """
     former = node.leadership.former
     if former is None:
