Soak: count runs on a crashed worker against their workspace's cap

Cause: the check looked at runs that are at work. A leader cannot tell a worker that has crashed from one that is cut off and runs on; starting the other jobs before the lease has run out or another life has answered would let the workspace exceed its cap (QUOTA) where it was cut off. The wait is allowed, for as long as the lease.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,7 @@
 from cornelward.loop import Loop
 from cornelward.staged_jobs import JobSpec, StepSpec
 from standins.cell import ROUTE, Cell
-from tools import soak_keys
+from tools import soak_keys, soak_waits
 from tools.soak import run_seed
 
 # Duration of the load under faults: long enough for a takeover and a restart.
@@ -83,6 +83,29 @@
     assert_that(cell.violations[0], StartsWith("QUOTA: a uses 4000"))
 
 
+def test_runs_on_a_crashed_worker_use_a_cap_for_no_longer_than_their_lease():
+    # Seed 102: a deadly task's step, which needs all of its workspace's cap, was on a
+    # worker that had crashed; the workspace's other jobs were reported as waiting.
+    first, second = (
+        SimpleNamespace(id=f"w{i}", down=False, running={}) for i in range(2)
+    )
+    cell = SimpleNamespace(finished={"a.0.0.1"}, starts=[])
+    cell.starts += [("w0", f"a.0.0.{i}", 1) for i in range(3)]
+    cell.starts.append(("w1", "a.0.0.2", 2))
+    down_since = {}
+
+    def lost(now):
+        return soak_waits.lost_tasks(cell, (first, second), now, down_since)
+
+    assert_that(lost(10.0), Equals([]))
+    first.down = True
+    assert_that(lost(11.0), Equals(["a.0.0.0"]))
+    assert_that(lost(10.9 + soak_waits.LEASE_BOUND_S), Equals(["a.0.0.0"]))
+    assert_that(lost(11.1 + soak_waits.LEASE_BOUND_S), Equals([]))
+    first.down = False
+    assert_that(lost(20.0), Equals([]))
+
+
 @pytest.mark.parametrize(
     ("key", "answered_s", "failures"),
     [("key-open", 9.0, 1), ("key-withdrawn", 4.9, 1), ("key-withdrawn", 5.1, 0)],
