Soak: a job whose run is on a crashed worker is not waiting

Trace: 2241.44 s its task starts on i-2 and crashes it; 2244.85 s the worker is back under another id; 2245.10 s the leader has heard of it and fails the job by its second crash.

Cause: the worker was away for 3.4 s, and the check allows 3 s in which nothing of a job runs. A leader must not start the task elsewhere before the lease has run out or another life has answered: the worker might be cut off and run on (TWICE).

Change: such a run counts as running, for the bound of a lease at most.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -83,9 +83,10 @@
     assert_that(cell.violations[0], StartsWith("QUOTA: a uses 4000"))
 
 
-def test_runs_on_a_crashed_worker_use_a_cap_for_no_longer_than_their_lease():
+def test_runs_on_a_crashed_worker_count_for_no_longer_than_their_lease():
     # Seed 102: a deadly task's step, which needs all of its workspace's cap, was on a
-    # worker that had crashed; the workspace's other jobs were reported as waiting.
+    # worker that had crashed; the workspace's other jobs were reported as waiting, and
+    # in another run the deadly job itself.
     first, second = (
         SimpleNamespace(id=f"w{i}", down=False, running={}) for i in range(2)
     )
--- a/tools/soak_waits.py
+++ b/tools/soak_waits.py
@@ -2,9 +2,9 @@
 
 A job waits if none of its tasks runs although a step of it may start, twice the room
 for a task of that step is free, and less than half of the workers' processors (and of
-its workspace's cap) are in use. Runs on a worker that has crashed use the cap until the
-worker is back or their leases have run out: a leader cannot tell it from one that is
-cut off and runs on.
+its workspace's cap) are in use. Runs on a worker that has crashed count as running, and
+use the cap, until the worker is back or their leases have run out: a leader cannot tell
+it from one that is cut off and runs on.
 """
 
 import math
@@ -70,7 +70,7 @@
     if spec is None or not job.is_accepted:
         return False
     running = [name for w in soak.workers for name, _ in w.running]
-    if any(name.startswith(job.id) for name in running):
+    if any(name.startswith(job.id) for name in (*running, *lost)):
         return False
     ready = _ready_step(cell, spec)
     if ready is None or _is_half_used(soak, spec, running, lost):
