Examine no workers for steps that cannot be asked about in a pass

Cause: since the planner lists the workers that a step has no ticket for, and checks them for room, before it looks whether any node could ask. In a backlog that is all jobs in each pass.

Change: once enough steps may be asked about ahead, a step with a call under way, or without a free node, is left at once; and in a pass one step that could be placed and finds no node is enough to know. What is asked, and when, stays the same; the reason that is logged, too.

--- a/cornelward/dispatch_plan.py
+++ b/cornelward/dispatch_plan.py
@@ -340,13 +340,12 @@
     """
     now, capacity = this_pass.now, this_pass.capacity
     job, key = candidate.job, candidate.key
+    why = _why_not_asked(state, this_pass, candidate, queue)
+    if why is not None:
+        return why
     unknown, expired = _without_ticket(capacity, candidate, queue)
     ids = [*candidate.allowed, *expired, *unknown]
-    is_early = bool(unknown) or len(this_pass.steps_ahead) < STEPS_WITH_TICKETS
-    if is_early and asked_workers.can_fit(capacity, candidate, ids):
-        this_pass.steps_ahead.append(key)
-    else:
-        is_early = False
+    is_early = _may_ask_ahead(this_pass, candidate, ids, bool(unknown))
     if advising.tickets_of(job, key).call_ids:
         return waits.ADVICE
     if not unknown and not expired:
@@ -368,6 +367,40 @@
     return _request_advice(state, now, candidate, queue)
 
 
+def _may_ask_ahead(this_pass, candidate, ids, has_unknown):
+    """Return whether a step may be asked about while it waits for capacity."""
+    if not has_unknown and len(this_pass.steps_ahead) >= STEPS_WITH_TICKETS:
+        return False
+    if not asked_workers.can_fit(this_pass.capacity, candidate, ids):
+        return False
+    this_pass.steps_ahead.append(candidate.key)
+    return True
+
+
+def _why_not_asked(state, this_pass, candidate, queue):
+    """Return why a step is certainly not asked about in this pass, or None.
+
+    Examining the workers for it would change nothing: enough steps may be asked about
+    ahead, and it is known that a step that could be placed has found no free node.
+    """
+    if len(this_pass.steps_ahead) < STEPS_WITH_TICKETS:
+        return None
+    job, key, advice = candidate.job, candidate.key, state.advising
+    tickets = advising.tickets_of(job, key)
+    if tickets.call_ids:
+        return waits.ADVICE
+    # Otherwise it may be approved room that the step waits for.
+    has_unknown = len(tickets.asked) < len(
+        this_pass.capacity.askable.get(queue.service, ())
+    )
+    if not has_unknown or advising.has_free_node(advice, this_pass.now):
+        return None
+    is_owed = waits.is_overdue(job, key, this_pass.now)
+    if is_owed and advice.owed_until < this_pass.now + OWED_ADVICE_S:
+        return None
+    return waits.ADVICE_NODE
+
+
 def _without_ticket(capacity, candidate, queue):
     """Return (ids of workers not asked about, ids of those whose tickets expired)."""
     tickets = advising.tickets_of(candidate.job, candidate.key)
--- a/tests/test_planning_waits.py
+++ b/tests/test_planning_waits.py
@@ -9,7 +9,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 
-from cornelward import dispatch, planning
+from cornelward import advising, asked_workers, dispatch, planning
 from cornelward.staged_jobs import Queue, StepSpec
 from cornelward.workspaces import WorkspaceTerms
 
@@ -157,6 +157,27 @@
     assert_that(running(sim, LASTING), HasLength(8))
 
 
+def test_pass_examines_workers_for_few_of_the_steps_that_find_no_node(monkeypatch):
+    # In a backlog each step had all workers examined in each pass of the planner, whose
+    # passes took twice as long (rsl-cornelward-large, scale-1).
+    sim = start_cell(1)
+    for i in range(60):
+        sim.submit(f"{i:016x}", steps_of(1, estimate_s=0.5), ADVISED)
+    monkeypatch.setattr(advising, "has_free_node", lambda *args: False)
+    monkeypatch.setattr(Sim, "ask_advice", lambda *args: None)
+    sim.run(3.0)
+    examined, examine = [], asked_workers.has_room
+    monkeypatch.setattr(
+        asked_workers, "has_room", lambda *args: examined.append(1) or examine(*args)
+    )
+    state = sim.leader.core
+    state.advising.owed_until = 0.0
+    dispatch.plan(state, sim.now)
+    assert_that(len(state.jobs), GreaterThan(40))
+    assert_that(len(examined), LessThan(10))
+    assert_that(state.advising.owed_until, GreaterThan(sim.now))
+
+
 HIGH, LOW = (Queue(name, "svc", p, 4, 2.0, 1.0) for name, p in (("h", 1), ("l", 2)))
 # Of these all jobs are late when their second step is ready.
 LATE_HIGH, LATE_LOW = (queue._replace(stretch=0.1, slo_s=0.1) for queue in (HIGH, LOW))
