Log and measure how certain a node is of its configuration

Added: node_config.unconfirmed and confirmed, node_jobs.not_admitted, node.loop_late, and gauges of the three ages. No decision changes.

--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -29,6 +29,8 @@
 log = get_logger("node")
 
 TICK_INTERVAL_S = 0.1
+# The periodic tick is logged if it runs this late.
+LOGGED_LAG_S = 0.5
 # A node below either limit is the last to claim leadership. The leader of 176 workers
 # uses 0.7 of a core and about 5 Mbit/s.
 LEADER_CORES = 1.0
@@ -91,6 +93,8 @@
         # When the last message from another node arrived.
         self.last_message_at = clock()
         self.ticked_at = clock()
+        # How late the periodic tick ran at most since the metric was last read.
+        self.longest_lag_s = 0.0
         self.stopping_at = None
         self.stopped = False
 
@@ -147,6 +151,7 @@
 
 def tick(node):
     """Run the periodic work of the node; called ten times a second."""
+    _measure_lag(node)
     node_config.tick(node)
     leads = node.leader is not None
     node.store.watch(LEADER_PROBE_INTERVAL_S if leads else PROBE_INTERVAL_S)
@@ -163,6 +168,13 @@
     _stop_when_drained(node)
 
 
+def _measure_lag(node):
+    lag_s = clock() - node.ticked_at - TICK_INTERVAL_S
+    node.longest_lag_s = max(node.longest_lag_s, lag_s)
+    if lag_s >= LOGGED_LAG_S:
+        log("warning", "loop_late", late_s=round(lag_s, 2))
+
+
 def execute(node, effect):
     """Execute an effect of the leadership core."""
     kind = type(effect).__name__
--- a/cornelward/node_config.py
+++ b/cornelward/node_config.py
@@ -12,7 +12,9 @@
 from .messages import NodeConfigReply, NodeConfigRequest, NodeConfigVersion
 
 __all__ = [
+    "age_s",
     "confirm",
+    "feed_age_s",
     "is_confirmed",
     "on_reply",
     "on_request",
@@ -45,6 +47,8 @@
 
     ``waiting`` holds the functions to call once the question to other nodes is
     answered, or at the time ``answer_by``; ``asked_at`` the times of the latest ones.
+    ``fed_at`` is when the store last answered the feed (at first, when the process
+    began). ``reported_confirmed`` is what the log last said of the confirmation.
     """
 
     def __init__(self, now):
@@ -53,6 +57,8 @@
         self.waiting = []
         self.answer_by = None
         self.asked_at = collections.deque(maxlen=QUESTIONS_KEPT)
+        self.fed_at = now
+        self.reported_confirmed = True
 
 
 def start(node):
@@ -67,6 +73,7 @@
         if isinstance(listing, Refused | Unknown):
             node.loop.call_later(RETRY_S, lambda: _read(node))
             return
+        node.config_state.fed_at = node.deps.now()
         _apply_rows(node, listing.rows)
         _confirm_by_store(node, sent_at)
         _follow(node, listing.version)
@@ -82,6 +89,7 @@
         if isinstance(changes, Refused | Unknown):
             node.loop.call_later(RETRY_S, lambda: _read(node))
         elif hasattr(changes, "rows"):
+            node.config_state.fed_at = node.deps.now()
             _apply_rows(node, changes.rows)
             _confirm_by_store(node, sent_at)
             _follow(node, changes.version)
@@ -133,14 +141,20 @@
 def version_message(node):
     """Return the NodeConfigVersion of this node."""
     sync = node.config_state.sync
-    return NodeConfigVersion(node.address, sync.version, _age_s(node))
+    return NodeConfigVersion(node.address, sync.version, age_s(node))
 
 
-def _age_s(node):
+def age_s(node):
+    """Return how long ago the version was confirmed; None if it never was."""
     confirmed_at = node.config_state.sync.confirmed_at
     return None if confirmed_at is None else node.deps.now() - confirmed_at
 
 
+def feed_age_s(node):
+    """Return how long ago the store last answered this node's feed."""
+    return node.deps.now() - node.config_state.fed_at
+
+
 def _announce(node):
     """Tell the leader about a new version, or everybody if this node leads."""
     if node.leader is not None:
@@ -173,7 +187,7 @@
     is_newer = state.sync.version > message.version
     document = state.document if is_newer else b""
     reply = NodeConfigReply(
-        node.address, state.sync.version, _age_s(node), message.sent_at, document
+        node.address, state.sync.version, age_s(node), message.sent_at, document
     )
     node.peers.send(message.address, reply)
 
@@ -232,6 +246,28 @@
         on_done()
 
 
+def _report_confirmation(node):
+    """Log when the confirmation gets too old for refusals, and when it is renewed."""
+    state, is_recent = node.config_state, is_confirmed(node)
+    if is_recent == state.reported_confirmed:
+        return
+    state.reported_confirmed = is_recent
+    if is_recent:
+        log("info", "confirmed", version=state.sync.version)
+        return
+    age, heard_at = age_s(node), node.leadership.leader_seen_at
+    log(
+        "warning",
+        "unconfirmed",
+        version=state.sync.version,
+        heard_version=state.sync.heard_version,
+        age_s=None if age is None else round(age, 2),
+        feed_age_s=round(feed_age_s(node), 2),
+        leader=node.leadership.leader_address,
+        leader_heard_s=round(node.deps.now() - heard_at, 2),
+    )
+
+
 def tick(node):
     """Ask for a newer document if one is due, and end the callers' wait."""
     state, now = node.config_state, node.deps.now()
@@ -242,3 +278,4 @@
         _ask(node, address)
     if state.answer_by is not None and now >= state.answer_by:
         _end_waiting(node)
+    _report_confirmation(node)
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -28,6 +28,8 @@
 # Deadline of a request that sends no Deadline-Ms header.
 DEFAULT_TIMEOUT_S = 3.0
 MAX_TIMEOUT_DIGITS = 12
+# Characters of a path that a log line shows.
+MAX_PATH_CHARS = 100
 # Reserved for sending the response to the caller.
 RESPONSE_MARGIN_S = 0.15
 # RFC 9110 requires this header in a 401 response.
@@ -74,13 +76,26 @@
     elif node_config.is_confirmed(node):
         _refuse_admission(node, call, decision.refusal)
     else:
-        node.deps.metrics.refusals.labels("unconfirmed").inc()
+        _note_refusal(node, call, "unconfirmed")
         text = "this node may not have the newest configuration"
         refuse(call, 503, PLATFORM_UNAVAILABLE, text, headers=CLOSE_CONNECTION)
 
 
-def _refuse_admission(node, call, reason):
+def _note_refusal(node, call, reason):
     node.deps.metrics.refusals.labels(reason).inc()
+    age = node_config.age_s(node)
+    log(
+        "info",
+        "not_admitted",
+        reason=reason,
+        path=call.request.path[:MAX_PATH_CHARS],
+        version=node.config.version,
+        age_s=None if age is None else round(age, 2),
+    )
+
+
+def _refuse_admission(node, call, reason):
+    _note_refusal(node, call, reason)
     if reason == NO_ROUTE:
         text = "unknown queue or invalid job id"
         refuse(call, 404, NOT_FOUND, text, retry_s=0)
--- a/cornelward/node_status.py
+++ b/cornelward/node_status.py
@@ -3,12 +3,13 @@
 Serves ``/metrics`` in the Prometheus text format and ``/state`` as JSON.
 """
 
+import math
 from collections import Counter as Counts
 from typing import NamedTuple
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, exposition
 
-from . import overload, waits
+from . import node_config, overload, waits
 from .dispatch import pending_by_queue
 from .lease_grants import lease_end
 
@@ -67,6 +68,18 @@
                 "config_version",
                 "Version of the active configuration; 0 if there is none.",
             ),
+            (
+                "config_age_seconds",
+                "Seconds since the configuration was confirmed as the newest one.",
+            ),
+            (
+                "config_feed_age_seconds",
+                "Seconds since the store answered the feed of the configuration.",
+            ),
+            (
+                "loop_lag_seconds",
+                "How late the periodic work ran at most since the last scrape.",
+            ),
             ("leads", "1 while this node is the leader, else 0."),
             (
                 "leader_token",
@@ -137,6 +150,11 @@
     gauges = node.deps.metrics.gauges
     dispatcher = node.leader.dispatcher if node.leader is not None else None
     gauges["config_version"].set(node.config.version if node.config else 0)
+    age_s = node_config.age_s(node)
+    gauges["config_age_seconds"].set(math.inf if age_s is None else age_s)
+    gauges["config_feed_age_seconds"].set(node_config.feed_age_s(node))
+    gauges["loop_lag_seconds"].set(node.longest_lag_s)
+    node.longest_lag_s = 0.0
     gauges["leads"].set(dispatcher is not None)
     gauges["leader_token"].set(node.leader.token if dispatcher else 0)
     gauges["jobs"].set(len(dispatcher.jobs) if dispatcher else 0)
