--- a/tests/fixtures_node.py
+++ b/tests/fixtures_node.py
@@ -123,6 +123,17 @@
         return self.call(node, "POST", f"/jobs/{job_id}", body, key=key).status
 
 
+def kill(cluster, node):
+    """Stop a node without any message to the others, as SIGKILL does."""
+    if node.leader is not None:
+        node.leader.closed = True
+    node.leader = None
+    node.leadership.leaving = True
+    node.leadership.role = "killed"
+    node.peers.close()
+    cluster.nodes.remove(node)
+
+
 @pytest.fixture
 def cluster():
     """Return a NodeCluster that has not been started."""
--- /dev/null
+++ b/tests/test_lost_leader.py
@@ -0,0 +1,52 @@
+"""Nodes that the store turns away and whose leader is gone: they find the next one."""
+
+from fixtures_node import ROUTE, cluster, kill
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, Not
+
+__all__ = ["cluster"]
+
+JOB = "5c0e7a21d94b36f8"
+STEPS = [{"count": 1, "cpu": 500, "mem_mb": 256, "estimate_ms": 200}]
+
+
+def turn_away(cluster, node):
+    proxy = cluster.proxies[node.settings.node]
+    proxy.refuse_connections = True
+    proxy.reset()
+
+
+def lose_leader(cluster, nodes=4):
+    """Turn a node away and kill the leader; its successor does not know the node.
+
+    Returns (the node, the successor). On a large site a candidate that was no standby
+    knows the addresses of the standbys only.
+    """
+    cluster.start(nodes=nodes, keys={"acme": ["k-1"]}, proxied=True)
+    first = cluster.leader()
+    lost, *others = [n for n in cluster.nodes if n is not first]
+    turn_away(cluster, lost)
+    for node in others:
+        node.peer_state.peers = [n.address for n in others if n is not node]
+    kill(cluster, first)
+    cluster.wait(lambda: cluster.leader() is not None)
+    successor = cluster.leader()
+    assert_that(successor.peer_state.peers, Not(Contains(lost.address)))
+    return lost, successor
+
+
+def test_versions_reach_a_node_that_the_next_leader_does_not_know(cluster):
+    # CONFIG: eight of 35 nodes served by a configuration 18 s old, until the store
+    # answered them again.
+    lost, _ = lose_leader(cluster)
+    for version in (2, 3):
+        cluster.platform.configure(version, [ROUTE], {"acme": [f"k-{version}"]})
+        cluster.wait(lambda v=version: lost.config.version == v)
+
+
+def test_node_that_the_next_leader_does_not_know_finds_it(cluster):
+    # Its callers got errors for as long as the store turned it away.
+    lost, successor = lose_leader(cluster)
+    cluster.wait(lambda: lost.leadership.leader_address == successor.address)
+    cluster.wait(lambda: lost.settings.node in successor.leader.nodes)
+    assert_that(cluster.submit(lost, JOB, STEPS, "k-1"), Equals(200))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import pytest
-from fixtures_node import ADVICE, ROUTE, cluster
+from fixtures_node import ADVICE, ROUTE, cluster, kill
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength
 
@@ -98,17 +98,6 @@
     assert_that(cluster.state(other, JOB), Equals("cancelled"))
 
 
-def kill(cluster, node):
-    """Stop a node without any message to the others, as SIGKILL does."""
-    if node.leader is not None:
-        node.leader.closed = True
-    node.leader = None
-    node.leadership.leaving = True
-    node.leadership.role = "killed"
-    node.peers.close()
-    cluster.nodes.remove(node)
-
-
 def test_successor_adopts_running_tasks(cluster):
     cluster.start(run_s=4.0)
     leader = cluster.leader()
