Handle input that has arrived before timers that are due

A process short of processor time ran the time limits of its calls before it read the answers that had come meanwhile: it gave up calls that were answered, closed the idle connections to that address, and took stores, workers and other nodes for silent. Timers now run after the input of the same iteration.

Evidence: the new test of test_http_client.py gave a timeout before, and the answer now.

--- a/cornelward/loop.py
+++ b/cornelward/loop.py
@@ -23,6 +23,11 @@
 # Characters of a traceback that a log line shows, the last ones.
 MAX_TRACE = 1_000
 
+# circuits handles the events of an iteration by ascending number, input with 0. Timers
+# come after it, so that a process that is late does not take an answer that has come
+# for one that is missing.
+AFTER_INPUT = 1
+
 # The heap is rebuilt only if it holds more cancelled timers than this.
 MIN_CANCELLED_TIMERS = 1_000
 
@@ -169,7 +174,8 @@
             if timer[2] is None:
                 self._cancelled -= 1
             else:
-                self.fire(call(functools.partial(self._run_timer, timer)))
+                run = call(functools.partial(self._run_timer, timer))
+                self.fire(run, priority=AFTER_INPUT)
                 # Firing an event here does not by itself shorten the poller's wait.
                 event.reduce_time_left(0)
         if timers:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -4,6 +4,7 @@
 import errno
 import math
 import socket
+import time
 
 import pytest
 from testtools.assertions import assert_that
@@ -283,3 +284,15 @@
     raw.client.request(raw.address, "GET", "/", results.append, timeout_s=9.0)
     assert raw.loop.run_until(lambda: results, WAIT_LIMIT_S)
     assert_that((results[0].error, results[0].sent), Equals(("connect_failed", False)))
+
+
+def test_answer_that_came_while_the_process_was_late_is_not_a_timeout(raw_upstream):
+    # A process short of processor time took its own lateness for the silence of others,
+    # gave up calls that were answered and closed their connections.
+    answers = raw_upstream.run(timeout_s=0.2)
+    sock = raw_upstream.accept()
+    raw_upstream.receive(sock)
+    sock.send(OK)
+    time.sleep(0.4)
+    answer = raw_upstream.until(answers)
+    assert_that((answer.status, answer.body), Equals((200, b"ok")))
