Take the leader's own renewals as the mark up to which changes of jobs were seen

Whatever was stored before a renewal of the leader's row was sent has a lower version than the renewal: an answer up to that version shows that all of it was seen, however many rows answers have.

--- a/cornelward/node_heartbeats.py
+++ b/cornelward/node_heartbeats.py
@@ -48,7 +48,8 @@
 
     A follower that knows it can claim an unrenewed row at its first read of it.
     """
-    term = node.leader
+    term, state = node.leader, node.leadership
+    term.renewals.append((state.confirmed_at, state.version))
     if term.dispatcher is not None and not term.closed:
         node_starts.confirm_term(node, term)
         term.beats.standbys_at = None
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -1,5 +1,6 @@
 """Work of the leading node: dispatcher effects, heartbeats, requests of other nodes."""
 
+import collections
 import time
 
 from . import (
@@ -74,6 +75,9 @@
         self.registry_asked_at = now
         # All changes of the jobs up to this time were seen, cancels among them.
         self.jobs_seen_until = now
+        # (when it was sent, its version in the store) of the renewals of the leader's
+        # row that are newer than the changes seen.
+        self.renewals = collections.deque()
         # When the last step ran, and since when the process may have been replaced as
         # the leader without noticing; Start effects are held back meanwhile.
         self.stepped_at = now
--- a/cornelward/node_takeover.py
+++ b/cornelward/node_takeover.py
@@ -339,16 +339,26 @@
         )
         _apply_job_rows(node, term, changes.rows)
         if not is_full:
-            is_empty, now = not changes.rows, node.deps.now()
             term.jobs_seen_until = store_calls.true_as_of(
-                now, asked_at, FEED_WAIT_S, is_empty
+                node.deps.now(), asked_at, FEED_WAIT_S, not changes.rows
             )
-            node_starts.release_held_starts(node, term)
+        _note_version_seen(node, term, changes.version)
 
     if not term.closed:
         node.store.follow("jobs", version, FEED_WAIT_S, done)
 
 
+def _note_version_seen(node, term, version):
+    """Note that all changes of the jobs up to a version of the store were seen.
+
+    What was stored before a renewal was sent has a lower version than the renewal.
+    """
+    while term.renewals and term.renewals[0][1] <= version:
+        sent_at, _ = term.renewals.popleft()
+        term.jobs_seen_until = max(term.jobs_seen_until, sent_at)
+    node_starts.release_held_starts(node, term)
+
+
 def _reread_jobs(node, term):
     """List the jobs of all partitions again, then follow from the first listing."""
 
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -89,6 +89,16 @@
     assert_that(cluster.platform.starts, HasLength(1))
 
 
+def test_starts_go_on_while_jobs_change_all_the_time(cluster, monkeypatch):
+    # With each answer as full as the next one, the leader is not behind for ever.
+    monkeypatch.setattr(node_takeover, "FULL_PAGE_ROWS", 1)
+    term = cluster.start(nodes=1).leader().leader
+    store = cluster.platform.store
+    cluster.loop.call_every(0.02, lambda: store.put("jobs", "f" * 16, None))
+    seen_until = term.jobs_seen_until + 2.0
+    cluster.wait(lambda: term.jobs_seen_until > seen_until)
+
+
 def test_answer_of_the_store_outlives_an_error_in_another_calls_handler():
     # The first answer after a silence gives up what was lost in it; an error of one of
     # these calls took the answer away from the call that had it.
