Let a weak leader hand over to a strong node

Nothing made it hand over once strong nodes reached the store again.

A weak leader now asks a strong node that it reaches to take over, 3 s after its claim and each 6 s, by the message and under the fences of a planned hand-over. Handing over moved to a module of its own. A late LeaderResigned of a former leader is ignored.

--- a/cornelward/leadership.py
+++ b/cornelward/leadership.py
@@ -234,8 +234,10 @@
 def on_leader_resigned(state, now, token):
     """Make the row claimable at once: the leader resigned and chose this node.
 
-    ``token`` is the token of the resigned leader.
+    ``token`` is the token of the resigned leader; a former one is ignored.
     """
+    if token < known_token(state):
+        return
     state.heartbeat_token = token
     state.store_age_s = STORE_STALE_S
     state.leader_seen_at = now
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -12,6 +12,7 @@
     node_cancels,
     node_config,
     node_former,
+    node_handover,
     node_heartbeats,
     node_inserts,
     node_leader,
@@ -298,7 +299,7 @@
     node.leadership.leaving = True
     node.deps.callers.start_draining()
     if node.leader is not None:
-        node_leader.resign(node)
+        node_handover.resign(node)
 
 
 def _stop_when_drained(node):
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -9,13 +9,14 @@
     dispatch_runs,
     heartbeats,
     node_former,
+    node_handover,
     node_heartbeats,
     node_starts,
 )
 from .dispatch_crashes import GONE
 from .dispatch_effects import Start
 from .log import get_logger
-from .messages import AdviceRequest, LeaderResigned
+from .messages import AdviceRequest
 from .staged_jobs import decode_spec
 
 __all__ = [
@@ -28,10 +29,6 @@
 
 log = get_logger("node_leader")
 
-# If a successor has not taken over within this time, the next one is chosen. On a slow
-# store its claim and fences take about 1.5 s.
-HANDOVER_TIMEOUT_S = 2.0
-
 
 class LeaderTerm:
     """State of one term as leader, identified by its fencing token.
@@ -54,6 +51,8 @@
         # Addresses of nodes that were asked to take over.
         self.handover_targets = set()
         self.successor = None
+        # When a weak node asks a strong one to take over.
+        self.yield_at = now + node_handover.YIELD_AFTER_S
         # When the successor was asked.
         self.handover_sent_at = None
         self.beats = heartbeats.Beats()
@@ -246,11 +245,7 @@
     """Run the periodic work of the leader: handover, heartbeats, dispatcher step."""
     term = node.leader
     now = node.deps.now()
-    if (
-        term.handover_sent_at is not None
-        and now - term.handover_sent_at >= HANDOVER_TIMEOUT_S
-    ):
-        resign(node)
+    node_handover.tick(node, term, now)
     if term.closed:
         return
     # A takeover may take longer than what counts as a pause of the process.
@@ -354,36 +349,3 @@
 def close(node):
     """End the term: answers that still arrive are ignored."""
     node.leader.closed = True
-
-
-def resign(node):
-    """Ask another node to take over; this one leads until it is fenced off.
-
-    Only one successor at a time is asked, because several would claim at once. Nodes
-    that are reached come first, then those that are not weak, then those whose last
-    hello is most recent.
-    """
-    term = node.leader
-    now = node.deps.now()
-    term.handover_sent_at = now
-    others = sorted(
-        (
-            not node.peers.is_silent(address),
-            name not in term.weak,
-            last_hello_at,
-            address,
-        )
-        for name, (address, last_hello_at) in term.nodes.items()
-        if name != node.settings.node
-        and name not in term.leaving
-        and address not in term.handover_targets
-    )
-    if not others:
-        log("warning", "resigned", successor=None)
-        node.deps.lose_leadership(node, "no other node can take over")
-        return
-    address = others[-1][-1]
-    term.handover_targets.add(address)
-    term.successor = address
-    log("info", "resigning", successor=address)
-    node.peers.send(address, LeaderResigned(term.token))
