--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -320,7 +320,8 @@
             )
             schedule_step(node)
 
-    if effect.node == node.settings.node:
+    # A node may have been forgotten since the call was planned for it.
+    if effect.node == node.settings.node or effect.node not in term.nodes:
         node.deps.ask_advice(effect.step_name, effect.workers, done)
         return
     address = term.nodes[effect.node][0]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,6 +13,7 @@
 
 from cornelward import node as shell
 from cornelward import node_heartbeats, node_leader, node_messages
+from cornelward.dispatch_effects import AskAdvice
 from cornelward.errors import SettingsError
 from cornelward.messages import Envelope, LeaderBeat, LeaderHello, LeaderResigned
 from standins.proxy import TO_CALLER, TO_TARGET
@@ -149,6 +150,16 @@
     assert_that([m for _, m in sent if isinstance(m, LeaderResigned)], Equals([]))
 
 
+def test_advice_planned_for_a_node_that_was_forgotten_is_asked_for(cluster):
+    # The call was lost, and its step waited until it was given up.
+    cluster.start()
+    leader, asked = cluster.leader(), []
+    leader.deps = leader.deps._replace(ask_advice=lambda *call: asked.append(call))
+    effect = AskAdvice("n9", 1, "step", ["i-0"])
+    node_leader._ask_advice(leader, leader.leader, effect)
+    assert_that(asked, HasLength(1))
+
+
 def test_new_leader_sends_heartbeats_to_the_nodes_of_the_former_leader(cluster):
     # For a second after a takeover only one node made advice calls, because the new
     # leader did not know the others.
