--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -1,5 +1,6 @@
 """Configuration of every node in touch: the core, and nodes behind proxies."""
 
+import math
 import random
 from types import SimpleNamespace
 
@@ -8,7 +9,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, LessThan
 
-from cornelward import config_sync, node_config, store_calls
+from cornelward import config_sync, node_config, node_messages, store_calls
 from cornelward.config_sync import ConfigSync
 from cornelward.messages import Envelope, NodeConfigReply, NodeConfigVersion
 from standins.proxy import TO_CALLER
@@ -216,6 +217,28 @@
         proxy.dropped_directions = frozenset({TO_CALLER})
 
 
+@pytest.mark.parametrize("way", ["feed", "messages", "questions"])
+def test_version_comes_by_each_of_three_ways_alone(cluster, monkeypatch, way):
+    # Each way hid that another was missing.
+    cluster.start(nodes=3, proxied=True)
+    node = next(n for n in cluster.nodes if n is not cluster.leader())
+    cluster.wait(lambda: len(node.peer_state.peers) == 2)
+    if way != "feed":
+        cut(cluster, node, "refused")
+    if way != "messages":
+        handle = node_messages.HANDLERS[NodeConfigVersion]
+        monkeypatch.setitem(
+            node_messages.HANDLERS,
+            NodeConfigVersion,
+            lambda other, *args: None if other is node else handle(other, *args),
+        )
+    if way != "questions":
+        monkeypatch.setattr(config_sync, "UNSURE_AFTER_S", math.inf)
+    for version in (2, 3):
+        cluster.platform.configure(version, [ROUTE])
+        cluster.wait(lambda v=version: node.config.version == v)
+
+
 @pytest.mark.parametrize("fault", ["refused", "unanswered"])
 def test_withdrawals_reach_nodes_that_the_store_turns_away(cluster, fault):
     # CONFIG: in an outage of the store for a third of the nodes these ran requests with
