--- a/tests/test_start_relay.py
+++ b/tests/test_start_relay.py
@@ -45,6 +45,7 @@
     node = SimpleNamespace(now=10.0, messages=[], orders=[], answers=[], timers=[])
     node.address = "10.0.0.1:1"
     node.settings = SimpleNamespace(node="n1")
+    node.is_weak = False
     node.peers = SimpleNamespace(
         send=lambda address, message: node.messages.append((address, message)) or True,
         is_silent=lambda address: address in node.silent_ways,
