--- a/cornelward/node_heartbeats.py
+++ b/cornelward/node_heartbeats.py
@@ -4,9 +4,9 @@
 from .messages import LeaderBeat
 
 __all__ = [
-    "greet",
     "on_row_renewed",
     "on_silent_way",
+    "send_first_heartbeat",
     "send_heartbeats",
     "update_advice_nodes",
 ]
@@ -79,8 +79,8 @@
         node.peers.send_all(group.addresses, node_config.version_message(node))
 
 
-def greet(node, term, address):
-    """Send the first heartbeat to a node that this leader did not know."""
+def send_first_heartbeat(node, term, address):
+    """Send a heartbeat at once to a node that this leader did not know."""
     if term.dispatcher is not None:
         now = node.deps.now()
         beat = _beat(node, term, now, _known_peers(node, term, now))
--- a/cornelward/node_leader.py
+++ b/cornelward/node_leader.py
@@ -181,7 +181,7 @@
         term.weak.add(name)
     node_heartbeats.update_advice_nodes(node, term)
     if is_new:
-        node_heartbeats.greet(node, term, hello.address)
+        node_heartbeats.send_first_heartbeat(node, term, hello.address)
 
 
 # Effects of the dispatcher
