--- a/tests/test_lost_leader.py
+++ b/tests/test_lost_leader.py
@@ -1,9 +1,15 @@
 """Nodes that the store turns away and whose leader is gone: they find the next one."""
 
+from types import SimpleNamespace
+
 from fixtures_node import ROUTE, cluster, kill
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from cornelward import leadership, node_leader
+from cornelward import node as shell
+from cornelward.messages import LeaderBeat, LeaderHello, NodeConfigVersion
+
 __all__ = ["cluster"]
 
 JOB = "5c0e7a21d94b36f8"
@@ -49,3 +55,37 @@
     cluster.wait(lambda: lost.leadership.leader_address == successor.address)
     cluster.wait(lambda: lost.settings.node in successor.leader.nodes)
     assert_that(cluster.submit(lost, JOB, STEPS, "k-1"), Equals(200))
+
+
+def test_node_is_told_who_leads_by_one_that_does_not(cluster):
+    # Without it, a node that knows no candidate of the next term finds the leader only
+    # by chance.
+    cluster.start(nodes=4, proxied=True)
+    first = cluster.leader()
+    lost, *others = [n for n in cluster.nodes if n is not first]
+    turn_away(cluster, lost)
+    lost.peer_state.peers = []
+    for node in others:
+        node.peer_state.peers = [n.address for n in others if n is not node]
+    kill(cluster, first)
+    cluster.wait(lambda: cluster.leader() is not None)
+    successor = cluster.leader()
+    third = next(n for n in others if n is not successor)
+    cluster.wait(lambda: third.leadership.leader_address == successor.address)
+    cluster.wait(lambda: leadership.is_leader_silent(lost.leadership, shell.clock()))
+    lost.peer_state.peers = [third.address]
+    cluster.wait(lambda: lost.leadership.leader_address == successor.address)
+    cluster.wait(lambda: lost.settings.node in successor.leader.nodes)
+
+
+def test_leader_answers_the_hello_of_a_node_new_to_it_with_a_heartbeat(cluster):
+    # The node refuses its callers until then.
+    leader, sent = cluster.start().leader(), []
+    leader.peers = SimpleNamespace(
+        send=lambda address, message: sent.append((address, type(message))),
+        is_silent=lambda address: False,
+    )
+    for _ in range(2):
+        node_leader.on_hello(leader, "n9", LeaderHello("10.0.0.9:1"))
+    expected = [("10.0.0.9:1", LeaderBeat), ("10.0.0.9:1", NodeConfigVersion)]
+    assert_that(sent, Equals(expected))
