--- a/cornelward/config_sync.py
+++ b/cornelward/config_sync.py
@@ -8,6 +8,7 @@
 __all__ = [
     "ConfigSync",
     "ask_due",
+    "behind_s",
     "is_behind",
     "is_confirmed",
     "note_adopted",
@@ -38,6 +39,8 @@
         self.confirmed_at = None
         self.heard_version = 0
         self.source = ""
+        # Newer version -> when it was first heard of.
+        self.heard_at = {}
         # When the next pull is due while this node is behind.
         self.pull_at = None
         self.asked_at = now
@@ -47,6 +50,7 @@
     """Note the version of a document that is in force from now on."""
     state.version = version
     state.confirmed_at = None
+    state.heard_at = {v: at for v, at in state.heard_at.items() if v > version}
     if state.heard_version <= version:
         state.pull_at = None
 
@@ -65,6 +69,7 @@
         return
     if version > state.heard_version:
         state.heard_version, state.source = version, address
+    state.heard_at.setdefault(version, now)
     if state.pull_at is None:
         state.pull_at = now + PULL_SPREAD_S * rng.random()
 
@@ -74,6 +79,11 @@
     return state.heard_version > state.version
 
 
+def behind_s(state, now):
+    """Return for how long this node has known of a newer version; 0.0 if of none."""
+    return now - min(state.heard_at.values(), default=now)
+
+
 def is_confirmed(state, now, limit_s):
     """Return whether the version was known to be the newest within ``limit_s``."""
     if state.confirmed_at is None or is_behind(state):
--- a/cornelward/http_client.py
+++ b/cornelward/http_client.py
@@ -33,6 +33,7 @@
     large), ``too_late`` (not sent before ``send_by``), ``abandoned`` (``abandon``) and
     ``invalid`` (address, header or body cannot be sent).
     ``sent`` is True if the operating system accepted at least one byte of the request.
+    ``received`` is the number of body bytes that arrived, also without a response.
     """
 
     status: int | None
@@ -40,6 +41,7 @@
     body: bytes
     error: str | None
     sent: bool
+    received: int = 0
 
     def json(self):
         """Return the decoded body, or None if it is invalid or too deeply nested."""
@@ -340,7 +342,7 @@
 
     def _finish(self, conn):
         exchange, conn.exchange = conn.exchange, None
-        conn.body_bytes = 0
+        received, conn.body_bytes = conn.body_bytes, 0
         status = conn.parser.get_status_code()
         idle = self._idle.setdefault(conn.addr, deque())
         can_reuse = conn.reusable and conn.keep_alive and not conn.send_buffer
@@ -352,7 +354,9 @@
             self._drop(conn)
         self._loop.cancel(exchange.timer)
         body = b"".join(exchange.body)
-        exchange.on_done(HttpResult(status, exchange.headers, body, None, True))
+        exchange.on_done(
+            HttpResult(status, exchange.headers, body, None, True, received)
+        )
 
     def _drop(self, conn):
         self._by_sock.pop(conn.sock, None)
@@ -369,7 +373,7 @@
         self._drop(conn)
         if exchange is not None:
             self._loop.cancel(exchange.timer)
-            self._fail(exchange, error)
+            self._fail(exchange, error, conn.body_bytes)
 
-    def _fail(self, exchange, error):
-        exchange.on_done(HttpResult(None, {}, b"", error, exchange.sent))
+    def _fail(self, exchange, error, received=0):
+        exchange.on_done(HttpResult(None, {}, b"", error, exchange.sent, received))
--- a/cornelward/node_config.py
+++ b/cornelward/node_config.py
@@ -119,7 +119,15 @@
     if node.config is not None and cfg.version <= node.config.version:
         return False
     before = node.config.keys if node.config is not None else None
-    log("info", "in_force", version=cfg.version, source=source)
+    behind_s = config_sync.behind_s(state.sync, node.deps.now())
+    log(
+        "info",
+        "in_force",
+        version=cfg.version,
+        source=source,
+        size=len(value),
+        behind_s=round(behind_s, 2),
+    )
     for workspace, mark in access.withdrawn(before, cfg.keys):
         log("info", "key_withdrawn", workspace=workspace, key=mark)
     node.config, state.document = cfg, value
--- a/cornelward/node_status.py
+++ b/cornelward/node_status.py
@@ -9,7 +9,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, exposition
 
-from . import node_config, overload, waits
+from . import config_sync, node_config, overload, waits
 from .dispatch import pending_by_queue
 from .lease_grants import lease_end
 
@@ -72,6 +72,10 @@
                 "config_age_seconds",
                 "Seconds since the configuration was confirmed as the newest one.",
             ),
+            (
+                "config_behind_seconds",
+                "Seconds since a newer configuration is known; 0 if none is.",
+            ),
             (
                 "config_feed_age_seconds",
                 "Seconds since the store answered the feed of the configuration.",
@@ -152,6 +156,8 @@
     gauges["config_version"].set(node.config.version if node.config else 0)
     age_s = node_config.age_s(node)
     gauges["config_age_seconds"].set(math.inf if age_s is None else age_s)
+    behind_s = config_sync.behind_s(node.config_state.sync, node.deps.now())
+    gauges["config_behind_seconds"].set(behind_s)
     gauges["config_feed_age_seconds"].set(node_config.feed_age_s(node))
     gauges["loop_lag_seconds"].set(node.longest_lag_s)
     node.longest_lag_s = 0.0
--- a/cornelward/platform/store.py
+++ b/cornelward/platform/store.py
@@ -200,6 +200,7 @@
         outcome=_outcome_name(result, outcome),
         taken_s=round(taken_s, 2),
         limit_s=round(limit_s, 2),
+        received=result.received,
     )
 
 
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -88,6 +88,19 @@
     assert_that(config_sync.ask_due(state, due + 1, ["a"], rng), Is(None))
 
 
+def test_node_is_behind_since_it_heard_of_the_oldest_version_that_it_lacks(rng):
+    state = ConfigSync(0.0)
+    config_sync.note_adopted(state, 3)
+    assert_that(config_sync.behind_s(state, 5.0), Equals(0.0))
+    for now, version in ((5.0, 4), (5.5, 4), (6.0, 5)):
+        config_sync.note_heard(state, now, "leader", version, rng)
+    assert_that(config_sync.behind_s(state, 7.0), Equals(2.0))
+    config_sync.note_adopted(state, 4)
+    assert_that(config_sync.behind_s(state, 7.0), Equals(1.0))
+    config_sync.note_adopted(state, 5)
+    assert_that(config_sync.behind_s(state, 7.0), Equals(0.0))
+
+
 def test_version_is_not_confirmed_while_a_newer_one_is_known(rng):
     # The store may let a node read old rows.
     state = ConfigSync(0.0)
