--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -4,7 +4,8 @@
 (``to_target``, ``to_caller``) names the directions whose bytes are discarded while the
 connections stay open, ``refuse_connections`` closes each new connection on accept,
 ``reset()`` closes the open ones, and ``silence(direction)`` discards their bytes in one
-direction for good, while new connections work.
+direction for good, while new connections work. With ``bytes_per_s`` all connections
+share a link of that capacity toward the caller.
 """
 
 import socket
@@ -15,6 +16,8 @@
 
 TO_TARGET, TO_CALLER = "to_target", "to_caller"
 READ_BYTES = 65_536
+# Bytes of one connection that the link takes at once if its capacity is limited.
+LINK_BYTES = 16_384
 BACKLOG = 128
 
 
@@ -49,6 +52,9 @@
         self.delay_s = 0.0
         self.dropped_directions = frozenset()
         self.refuse_connections = False
+        self.bytes_per_s = None
+        # When the link has transmitted what it was given.
+        self._link_free_at = 0.0
         self._loop = loop
         self._target = target
         self._endpoints = {}
@@ -85,14 +91,17 @@
         endpoint = self._endpoints.get(sock)
         if endpoint is None:
             return
+        limited = self.bytes_per_s is not None and endpoint.direction == TO_CALLER
         try:
-            data = sock.recv(READ_BYTES)
+            data = sock.recv(LINK_BYTES if limited else READ_BYTES)
         except BlockingIOError:
             return
         except OSError:
             data = b""
         if not data:
             self._close(endpoint)
+        elif limited:
+            self._transmit(endpoint, data)
         elif not (endpoint.is_silent or endpoint.direction in self.dropped_directions):
             self._pass_on(endpoint.peer, data)
 
@@ -116,6 +125,19 @@
             self._endpoints[endpoint.sock] = endpoint
             self._loop.poller.addReader(self, endpoint.sock)
 
+    def _transmit(self, endpoint, data):
+        """Pass bytes on at the capacity of the link; read no more of them meanwhile."""
+        now = self._loop.now()
+        self._link_free_at = max(self._link_free_at, now) + len(data) / self.bytes_per_s
+        self._loop.poller.removeReader(endpoint.sock)
+
+        def done():
+            if endpoint.sock in self._endpoints:
+                self._loop.poller.addReader(self, endpoint.sock)
+                self._send(endpoint.peer, data)
+
+        self._loop.call_later(self._link_free_at - now, done)
+
     def _pass_on(self, endpoint, data):
         now = self._loop.now()
         due = max(endpoint.last_due_s, now + self.delay_s)
