Do not give up a call to the store while its answer arrives

Cause: feeds and reads had a time limit for the whole answer, 0.8 s beyond their wait and 0.9 to 3.0 s. An answer that takes longer was given up in the middle, by that limit or as overtaken by later calls, and asked for again from its first byte. Change: while bytes of an answer arrive, the limit counts from the last ones. The time that shows how fast the store is ends with the first bytes, so that a large answer no longer raises the limits of later calls, nor marks the store as slow.

--- a/cornelward/http_client.py
+++ b/cornelward/http_client.py
@@ -60,10 +60,13 @@
         "conn",
         "done",
         "headers",
+        "heard_at",
         "on_done",
+        "on_progress",
         "payload",
         "send_by",
         "sent",
+        "stall_s",
         "timer",
     )
 
@@ -78,6 +81,9 @@
         self.done = False
         self.timer = None
         self.conn = None
+        # When bytes of the response arrived last.
+        self.heard_at = None
+        self.stall_s = self.on_progress = None
 
 
 class _Connection:
@@ -169,14 +175,20 @@
         body=b"",
         timeout_s,
         send_by=math.inf,
+        stall_s=None,
+        on_progress=None,
     ):
         """Send one request to ``addr`` ("ip:port"); ``on_done`` is called exactly once.
 
         ``headers`` are (name, value) pairs. The first byte is sent before ``send_by``
-        (monotonic seconds), or nothing is sent. Returns a handle for ``abandon``.
+        (monotonic seconds), or nothing is sent. With ``stall_s``, a response of any
+        size may take longer than ``timeout_s`` as long as no pause between its bytes
+        lasts longer than that. ``on_progress()`` is called whenever bytes of the
+        response arrive. Returns a handle for ``abandon``.
         """
         now = self._loop.now()
         exchange = _Exchange(b"", send_by, now, on_done)
+        exchange.stall_s, exchange.on_progress = stall_s, on_progress
         if now >= send_by:
             self._loop.call_soon(lambda: self._fail(exchange, "too_late"))
             return exchange
@@ -190,14 +202,25 @@
             return exchange
         conn.exchange = exchange
         exchange.conn = conn
-        exchange.timer = self._loop.call_later(
-            timeout_s, lambda: self._close(conn, "timeout")
-        )
+        self._limit(conn, exchange, timeout_s)
         conn.send_buffer = exchange.payload
         if conn.connected:
             self._send(conn)
         return exchange
 
+    def _limit(self, conn, exchange, wait_s):
+        """End the exchange after ``wait_s``, unless its response arrives by then."""
+
+        def check():
+            if exchange.stall_s is not None and exchange.heard_at is not None:
+                left_s = exchange.heard_at + exchange.stall_s - self._loop.now()
+                if left_s > 0:
+                    self._limit(conn, exchange, left_s)
+                    return
+            self._close(conn, "timeout")
+
+        exchange.timer = self._loop.call_later(wait_s, check)
+
     def abandon(self, exchange):
         """Close the connection of a request that waits, and end it as ``abandoned``.
 
@@ -322,6 +345,9 @@
         if not data or conn.exchange is None:
             self._close(conn, "closed")
             return
+        conn.exchange.heard_at = self._loop.now()
+        if conn.exchange.on_progress is not None:
+            conn.exchange.on_progress()
         try:
             conn.parser.feed_data(data)
         except httptools.HttpParserError:
--- a/cornelward/platform/store.py
+++ b/cornelward/platform/store.py
@@ -124,8 +124,9 @@
 def connect_store(client, addr, now, observe):
     """Return the Store at ``addr``.
 
-    ``observe(operation, outcome, seconds)`` is called at the end of each call; the
-    outcome of one that was given up is ``abandoned``.
+    ``observe(operation, outcome, seconds)`` is called at the end of each call with the
+    time until the answer began to arrive; how long the rest takes depends on its size.
+    The outcome of a call that was given up is ``abandoned``.
     """
     link = _Link(client, addr, now, observe)
     call = functools.partial(_call, link)
@@ -152,6 +153,8 @@
         outcome = _convert(result, convert)
         now = link.now()
         link.exchanges.pop(number, None)
+        answered_at = link.calls.under_way[number].answered_at
+        answered_s = (now if answered_at is None else answered_at) - sent_at
         if now - sent_at > wait_s + SLOW_CALL_S:
             _log_slow_call(operation, result, outcome, now - sent_at, limit_s)
         lost = store_calls.finish(link.calls, now, number, _result_kind(result))
@@ -160,7 +163,7 @@
             link.client.close_idle(link.addr)
         if isinstance(outcome, _Page):
             link.clock_at, link.clock_s = now, outcome.listing.now_s
-        link.observe(operation, _outcome_name(result, outcome), now - sent_at)
+        link.observe(operation, _outcome_name(result, outcome), answered_s)
         try:
             _abandon(link, lost)
         finally:
@@ -175,6 +178,8 @@
         headers=(("Content-Type", "application/json"),) if body else (),
         body=body,
         timeout_s=limit_s,
+        stall_s=store_calls.STALL_S,
+        on_progress=lambda: store_calls.note_received(link.calls, link.now(), number),
     )
     if number in link.calls.under_way:
         link.exchanges[number] = exchange
--- a/cornelward/store_calls.py
+++ b/cornelward/store_calls.py
@@ -1,5 +1,8 @@
 """Core: decides when a call to the store that has no answer is given up.
 
+An answer that has begun to arrive may take long: its size has no limit, and the link of
+this process may be slow. Such a call is only given up once nothing more arrives.
+
 A store may be slow, lose single answers, or be silent: it answers nothing and closes no
 connection. A call that was lost must be sent again soon, one that is only slow must
 not. Load patterns: answers that are lost while leaders change, and the return of a
@@ -13,11 +16,13 @@
     "ANSWERED",
     "FAILED",
     "PROBE_TIMEOUT_S",
+    "STALL_S",
     "TIMED_OUT",
     "StoreCalls",
     "finish",
     "is_probe_due",
     "is_silent",
+    "note_received",
     "overtaken",
     "start",
     "true_as_of",
@@ -37,6 +42,9 @@
 FEED_TIMEOUT_S = 0.8
 PROBE_TIMEOUT_S = 0.9
 
+# Longest pause between two arrivals of bytes of one answer.
+STALL_S = 0.9
+
 COMMIT, READ, FOLLOW, PROBE = "commit", "read", "follow", "probe"
 # Results of a call. FAILED: there was an answer without use, or no connection.
 ANSWERED, TIMED_OUT, FAILED = "answered", "timed out", "failed"
@@ -51,11 +59,17 @@
 
 
 class Call(NamedTuple):
-    """A call under way; ``wait_s`` is for how long the store may delay its answer."""
+    """A call under way; ``wait_s`` is for how long the store may delay its answer.
+
+    ``answered_at`` is when the first bytes of the answer arrived, ``received_at`` when
+    the last ones did; None before.
+    """
 
     kind: str
     sent_at: float
     wait_s: float
+    answered_at: float | None = None
+    received_at: float | None = None
 
 
 class _Kind:
@@ -98,6 +112,14 @@
     return state.last_number, limit_s
 
 
+def note_received(state, now, number):
+    """Note that bytes of the call's answer have arrived."""
+    call = state.under_way.get(number)
+    if call is not None:
+        first = now if call.answered_at is None else call.answered_at
+        state.under_way[number] = call._replace(answered_at=first, received_at=now)
+
+
 def finish(state, now, number, result):
     """Remove a call; returns the numbers of the calls that are to be given up now."""
     call = state.under_way.pop(number)
@@ -114,7 +136,8 @@
         return []
     kind.answered_sent_at = max(kind.answered_sent_at, call.sent_at)
     if call.kind != FOLLOW:
-        kind.taken_s.append(now - call.sent_at)
+        answered_at = now if call.answered_at is None else call.answered_at
+        kind.taken_s.append(answered_at - call.sent_at)
         target_s = TIMEOUT_FACTOR * max(kind.taken_s)
         kind.limit_s = min(TIMEOUT_MAX_S, max(TIMEOUT_MIN_S, target_s))
     if not was_silent:
@@ -122,7 +145,9 @@
     return [
         other
         for other, earlier in state.under_way.items()
-        if earlier.sent_at <= call.sent_at and now - earlier.sent_at >= OVERDUE_MIN_S
+        if earlier.sent_at <= call.sent_at
+        and now - earlier.sent_at >= OVERDUE_MIN_S
+        and not _is_arriving(earlier, now)
     ]
 
 
@@ -145,6 +170,7 @@
         number
         for number, call in state.under_way.items()
         if now - call.sent_at >= _patience_s(state, call)
+        and not _is_arriving(call, now)
         and any(
             state.kinds[kind].answered_sent_at > call.sent_at
             for kind in OVERTAKING[call.kind]
@@ -152,6 +178,11 @@
     ]
 
 
+def _is_arriving(call, now):
+    """Return whether bytes of the call's answer have arrived lately."""
+    return call.received_at is not None and now - call.received_at < STALL_S
+
+
 def _patience_s(state, call):
     kind = READ if call.kind == FOLLOW else call.kind
     longest_s = max(state.kinds[kind].taken_s, default=0.0)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -296,3 +296,36 @@
     time.sleep(0.4)
     answer = raw_upstream.until(answers)
     assert_that((answer.status, answer.body), Equals((200, b"ok")))
+
+
+def test_limit_counts_from_the_last_bytes_of_a_response_that_arrives(raw_upstream):
+    # CONFIG: answers larger than a slow link carries within the limit never arrived
+    # (issue 44).
+    results, arrivals = [], []
+    raw_upstream.client.request(
+        raw_upstream.address,
+        "GET",
+        "/",
+        results.append,
+        timeout_s=0.2,
+        stall_s=WAIT_LIMIT_S,
+        on_progress=lambda: arrivals.append(True),
+    )
+    sock = raw_upstream.accept()
+    sock.send(OK[:-2])
+    raw_upstream.until(arrivals)
+    raw_upstream.loop.run_until(lambda: results, 0.5)
+    assert_that(results, Equals([]))
+    sock.send(OK[-2:])
+    assert_that(raw_upstream.until(results).body, Equals(b"ok"))
+
+
+@pytest.mark.parametrize("begun", [b"", OK[:-1]])
+def test_response_that_stops_arriving_times_out(raw_upstream, begun):
+    results = []
+    raw_upstream.client.request(
+        raw_upstream.address, "GET", "/", results.append, timeout_s=0.2, stall_s=0.2
+    )
+    raw_upstream.accept().send(begun)
+    assert_that(raw_upstream.until(results).error, Equals("timeout"))
+    assert_that(results[0].received, Equals(len(begun) and 1))
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -81,3 +81,28 @@
             )
         assert_that(store_calls.overtaken(calls, now), Equals([]))
         assert_that(now, LessThan(5.0))
+
+
+def test_call_whose_answer_arrives_is_not_given_up_as_overtaken():
+    # CONFIG: feeds of a large configuration were (issue 44).
+    calls = StoreCalls()
+    number, _ = store_calls.start(calls, 0.0, "follow", 1.0)
+    for at in (1.0, 1.6, 2.2):
+        store_calls.note_received(calls, at, number)
+    later, _ = store_calls.start(calls, 2.1, "read")
+    assert_that(store_calls.finish(calls, 2.2, later, ANSWERED), Equals([]))
+    assert_that(
+        store_calls.overtaken(calls, 2.2 + 0.9 * store_calls.STALL_S), Equals([])
+    )
+    assert_that(
+        store_calls.overtaken(calls, 2.2 + 1.1 * store_calls.STALL_S), Equals([number])
+    )
+
+
+def test_size_of_an_answer_does_not_raise_the_time_limit():
+    calls = StoreCalls()
+    number, limit_s = store_calls.start(calls, 0.0, "read")
+    store_calls.note_received(calls, 0.02, number)
+    store_calls.note_received(calls, 2.0, number)
+    store_calls.finish(calls, 2.0, number, ANSWERED)
+    assert_that(store_calls.start(calls, 3.0, "read")[1], Equals(limit_s))
