Transfer configurations between nodes in compressed parts, one at a time

Cause: a node that was behind asked another one each 0.4 s, and each answer was the whole document. Copies of 0.87 MB queued up on links of 1.25 MB/s, delayed store calls, health checks and calls of callers on the same link, and these were sent again in turn. Change: a document goes out in parts of 128 KiB, each compressed once. The receiver asks for one part at a time, again after 0.4 s, after the third time after 0.8 s. A node that answers that it lacks the version, too, is followed by another one at once. The part of an answer is bounded in size on both sides.

--- a/cornelward/config_sync.py
+++ b/cornelward/config_sync.py
@@ -14,12 +14,16 @@
     "note_adopted",
     "note_confirmed",
     "note_heard",
+    "note_lacking",
+    "note_progress",
 ]
 
 # A node that is behind waits a random part of this for its own feed: pulls are spread.
 PULL_SPREAD_S = 0.3
-# An unanswered pull is repeated after this time.
+# An unanswered pull is repeated after this time, and after twice as long once several
+# were: the answers may only be slow, and repeated ones delay all others on the link.
 PULL_RETRY_S = 0.4
+QUICK_PULLS = 3
 # A node whose version was not confirmed for longer than its own feed takes asks another
 # one, as often as ASK_INTERVAL_S.
 UNSURE_AFTER_S = 1.2
@@ -43,6 +47,7 @@
         self.heard_at = {}
         # When the next pull is due while this node is behind.
         self.pull_at = None
+        self.unanswered_pulls = 0
         self.asked_at = now
 
 
@@ -50,6 +55,7 @@
     """Note the version of a document that is in force from now on."""
     state.version = version
     state.confirmed_at = None
+    state.unanswered_pulls = 0
     state.heard_at = {v: at for v, at in state.heard_at.items() if v > version}
     if state.heard_version <= version:
         state.pull_at = None
@@ -74,6 +80,23 @@
         state.pull_at = now + PULL_SPREAD_S * rng.random()
 
 
+def note_progress(state, now, address):
+    """Note that a part of a newer document came from a node; it is asked for the next.
+
+    If its answer is missing, it is asked once more before others are.
+    """
+    state.source = address
+    state.unanswered_pulls = 0
+    state.pull_at = now + PULL_RETRY_S
+
+
+def note_lacking(state, now):
+    """Note that the node that was asked has no newer document: ask another one."""
+    if is_behind(state):
+        state.unanswered_pulls = 0
+        state.pull_at = now
+
+
 def is_behind(state):
     """Return whether another node has a newer version."""
     return state.heard_version > state.version
@@ -100,7 +123,9 @@
     if is_behind(state):
         if state.pull_at is None or now < state.pull_at:
             return None
-        state.pull_at = now + PULL_RETRY_S
+        state.unanswered_pulls += 1
+        is_quick = state.unanswered_pulls <= QUICK_PULLS
+        state.pull_at = now + (PULL_RETRY_S if is_quick else 2 * PULL_RETRY_S)
         source, state.source = state.source, ""
         if source:
             return source
--- a/cornelward/messages.py
+++ b/cornelward/messages.py
@@ -310,25 +310,32 @@
 class NodeConfigRequest(NamedTuple):
     """Asks for the configuration if it is newer than ``version``.
 
-    ``sent_at`` is a time on the sender's clock. The reply goes to ``address``.
+    ``sent_at`` is a time on the sender's clock. The reply goes to ``address``. The
+    sender has the first ``offset`` bytes of the document of ``partial_version``.
     """
 
     address: str
     version: int
     sent_at: float
+    partial_version: int = 0
+    offset: int = 0
 
 
 class NodeConfigReply(NamedTuple):
-    """The replying node's version and its age, and the document if it is newer.
+    """The replying node's version and its age, and a part of the document if newer.
 
     ``sent_at`` is that of the NodeConfigRequest; ``age_s`` as in NodeConfigVersion.
+    ``part`` is the compressed part from ``offset`` on of a document of ``size`` bytes,
+    empty if the version is not newer.
     """
 
     address: str
     version: int
     age_s: float | None
     sent_at: float
-    document: bytes
+    part: bytes
+    offset: int = 0
+    size: int = 0
 
 
 class AdviceRequest(NamedTuple):
--- a/cornelward/node_config.py
+++ b/cornelward/node_config.py
@@ -7,7 +7,7 @@
 
 import collections
 
-from . import access, config_sync, node_requests, store_calls
+from . import access, config_sync, document_transfer, node_requests, store_calls
 from .commits import Refused, Unknown
 from .log import get_logger
 from .messages import NodeConfigReply, NodeConfigRequest, NodeConfigVersion
@@ -46,6 +46,8 @@
 class ConfigState:
     """The configuration's bytes as read, and the questions about it under way.
 
+    ``outgoing`` sends them to other nodes, ``partial`` is what another node has sent
+    of a newer configuration.
     ``waiting`` holds the functions to call once the question to other nodes is
     answered, or at the time ``answer_by``; ``asked_at`` the times of the latest ones.
     ``fed_at`` is when the store last answered the feed (at first, when the process
@@ -53,7 +55,8 @@
     """
 
     def __init__(self, now):
-        self.document = b""
+        self.outgoing = document_transfer.Outgoing(b"")
+        self.partial = None
         self.sync = config_sync.ConfigSync(now)
         self.waiting = []
         self.answer_by = None
@@ -130,7 +133,9 @@
     )
     for workspace, mark in access.withdrawn(before, cfg.keys):
         log("info", "key_withdrawn", workspace=workspace, key=mark)
-    node.config, state.document = cfg, value
+    node.config, state.outgoing = cfg, document_transfer.Outgoing(value)
+    if state.partial is not None and state.partial.version <= cfg.version:
+        state.partial = None
     config_sync.note_adopted(state.sync, cfg.version)
     if node.leader is not None:
         node.deps.set_leader_config(node)
@@ -183,12 +188,15 @@
 
 
 def on_request(node, envelope, message):
-    """Send the document to a node that has an older one."""
+    """Send a part of the document to a node that has an older one."""
     state = node.config_state
-    is_newer = state.sync.version > message.version
-    document = state.document if is_newer else b""
+    version, size = state.sync.version, len(state.outgoing.document)
+    offset = message.offset if message.partial_version == version else 0
+    part = b""
+    if version > message.version and 0 <= offset < size:
+        part = state.outgoing.part(offset)
     reply = NodeConfigReply(
-        node.address, state.sync.version, age_s(node), message.sent_at, document
+        node.address, version, age_s(node), message.sent_at, part, offset, size
     )
     node.peers.send(message.address, reply)
 
@@ -200,8 +208,10 @@
         # Asked by a former process, whose clock may have been another.
         node_requests.drop_reply(envelope, "not_asked")
         return
-    if message.document:
-        _adopt(node, message.document, envelope.sender)
+    if message.part:
+        _receive_part(node, envelope.sender, message)
+    elif message.version <= sync.version:
+        config_sync.note_lacking(sync, now)
     config_sync.note_heard(sync, now, message.address, message.version, node.rng)
     if message.age_s is not None and message.version == sync.version:
         at = message.sent_at - message.age_s
@@ -210,6 +220,29 @@
         _end_waiting(node)
 
 
+def _receive_part(node, sender, message):
+    """Adopt the document if this part completes it, or ask for the next one."""
+    state = node.config_state
+    if message.version <= state.sync.version:
+        return
+    try:
+        state.partial, has_grown = document_transfer.add_part(
+            state.partial, message.version, message.offset, message.size, message.part
+        )
+    except ValueError as exc:
+        log("error", "part_unreadable", source=sender, reason=str(exc))
+        return
+    partial = state.partial
+    if not has_grown:
+        return
+    if len(partial.data) < partial.size:
+        config_sync.note_progress(state.sync, node.deps.now(), message.address)
+        _ask(node, message.address)
+        return
+    state.partial = None
+    _adopt(node, bytes(partial.data), sender)
+
+
 def is_confirmed(node):
     """Return whether the configuration was the newest until a moment ago."""
     limit_s = CONFIRMED_PART * node.settings.config_apply_s
@@ -239,9 +272,11 @@
 
 
 def _ask(node, address):
-    version, now = node.config_state.sync.version, node.deps.now()
-    node.config_state.asked_at.append(now)
-    node.peers.send(address, NodeConfigRequest(node.address, version, now))
+    state, now = node.config_state, node.deps.now()
+    version = state.sync.version
+    state.asked_at.append(now)
+    missing = document_transfer.next_offset(state.partial, version)
+    node.peers.send(address, NodeConfigRequest(node.address, version, now, *missing))
 
 
 def _end_waiting(node):
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -1,5 +1,6 @@
 """Configuration of every node in touch: the core, and nodes behind proxies."""
 
+import itertools
 import math
 import random
 from types import SimpleNamespace
@@ -330,3 +331,48 @@
     node_config.on_version(first, Envelope("n1", 1, old), old)
     cluster.loop.run_until(lambda: False, 0.6)
     assert_that({n.config.version for n in cluster.nodes}, Equals({5}))
+
+
+def test_unanswered_questions_of_a_node_that_is_behind_get_rarer(rng):
+    # Answers may only be slow, and repeated ones delay all others on the link.
+    state = ConfigSync(0.0)
+    config_sync.note_heard(state, 0.0, "leader", 7, rng)
+    asked_at = []
+    for number in range(60):
+        if config_sync.ask_due(state, number / 10, ["a"], rng):
+            asked_at.append(number / 10)
+    pauses = [round(b - a, 1) for a, b in itertools.pairwise(asked_at)]
+    assert_that(pauses[:4], Equals([0.4, 0.4, 0.4, 0.8]))
+
+
+def test_node_that_sent_a_part_is_asked_again_before_others(rng):
+    state = ConfigSync(0.0)
+    config_sync.note_heard(state, 0.0, "leader", 7, rng)
+    config_sync.note_progress(state, 6.0, "b")
+    assert_that(config_sync.ask_due(state, 6.3, ["a"], rng), Is(None))
+    assert_that(config_sync.ask_due(state, 6.5, ["a"], rng), Equals("b"))
+    assert_that(config_sync.ask_due(state, 7.0, ["a"], rng), Equals("a"))
+
+
+def test_another_node_is_asked_at_once_after_one_that_lacks_the_version_too(rng):
+    state = ConfigSync(0.0)
+    config_sync.note_heard(state, 0.0, "leader", 7, rng)
+    config_sync.ask_due(state, 0.3, ["a"], rng)
+    config_sync.note_lacking(state, 0.35)
+    assert_that(config_sync.ask_due(state, 0.4, ["a"], rng), Equals("a"))
+    config_sync.note_adopted(state, 7)
+    config_sync.note_lacking(state, 0.45)
+    assert_that(config_sync.ask_due(state, 0.5, ["a"], rng), Is(None))
+
+
+def test_documents_of_any_size_pass_between_nodes(cluster):
+    cluster.start(nodes=3, proxied=True)
+    late = next(n for n in cluster.nodes if n is not cluster.leader())
+    cut(cluster, late, "refused")
+    routes = [ROUTE] + [
+        ROUTE | {"name": f"q{number}", "path_prefix": f"/{number}/"}
+        for number in range(3_000)
+    ]
+    cluster.platform.configure(2, routes)
+    cluster.wait(lambda: late.config.version == 2)
+    assert_that(len(late.config.routes), Equals(3_001))
--- a/tests/test_large_config.py
+++ b/tests/test_large_config.py
@@ -57,8 +57,8 @@
 class Links:
     """Nodes in simulated time whose links take what they are sent one after another.
 
-    ``n0`` to ``n11`` have the store and fast links, the others neither: theirs carry
-    ``slow_bytes_per_s``. One message in twenty is lost. ``received`` is the number of
+    ``n0`` leads; it and all to ``n11`` have the store and fast links, the others
+    neither: theirs carry ``slow_bytes_per_s``. One message in twenty is lost. ``received`` is the number of
     bytes that were sent to each node, ``adopted_at`` has (node's address, version).
     """
 
@@ -78,7 +78,7 @@
         node = SimpleNamespace(
             address=address,
             config=None,
-            leader=None,
+            leader=SimpleNamespace() if address == self.addresses[0] else None,
             stopped=False,
             config_state=node_config.ConfigState(0.0),
             leadership=SimpleNamespace(
@@ -90,7 +90,9 @@
             loop=SimpleNamespace(call_later=self.call_later),
         )
         node.deps = SimpleNamespace(
-            now=lambda: self.now, decode_config=lambda value: self._note(node, value)
+            now=lambda: self.now,
+            decode_config=lambda value: self._note(node, value),
+            set_leader_config=lambda node: None,
         )
         node.peers = SimpleNamespace(
             send=lambda to, message: self.send(node, to, message),
