Refuse calls on a node that has long known of a newer configuration that it lacks

Only calls that the old document refuses waited for a confirmation; one that it admits was served without limit, though the queue may be gone or the key withdrawn. Change: after half of config_apply_ms behind a version that others still name, a node answers 503, closes the connection and is not ready, so that the caller's next connection reaches another node. It names no time to come back: others can serve at once.

--- a/cornelward/config_sync.py
+++ b/cornelward/config_sync.py
@@ -11,6 +11,7 @@
     "behind_s",
     "is_behind",
     "is_confirmed",
+    "is_outdated",
     "note_adopted",
     "note_confirmed",
     "note_heard",
@@ -45,6 +46,8 @@
         self.source = ""
         # Newer version -> when it was first heard of.
         self.heard_at = {}
+        # When a node last named a newer version.
+        self.named_at = None
         # When the next pull is due while this node is behind.
         self.pull_at = None
         self.unanswered_pulls = 0
@@ -76,6 +79,7 @@
     if version > state.heard_version:
         state.heard_version, state.source = version, address
     state.heard_at.setdefault(version, now)
+    state.named_at = now
     if state.pull_at is None:
         state.pull_at = now + PULL_SPREAD_S * rng.random()
 
@@ -107,6 +111,17 @@
     return now - min(state.heard_at.values(), default=now)
 
 
+def is_outdated(state, now, limit_s):
+    """Return whether this node has lacked a newer version for ``limit_s``.
+
+    It has not if no node has named one for twice as long: the nodes that had it may be
+    gone while the store is down, and then no node could serve.
+    """
+    if not state.heard_at or now - state.named_at > 2 * limit_s:
+        return False
+    return behind_s(state, now) >= limit_s
+
+
 def is_confirmed(state, now, limit_s):
     """Return whether the version was known to be the newest within ``limit_s``."""
     if state.confirmed_at is None or is_behind(state):
--- a/cornelward/node.py
+++ b/cornelward/node.py
@@ -138,10 +138,13 @@
     """Return whether the load balancer should send callers to this node.
 
     A node stays ready in a store outage that its leader sees, too: other nodes would
-    serve no better, and if none were ready, callers would find no connection.
+    serve no better, and if none were ready, callers would find no connection. A node
+    that lacks a newer configuration refuses calls that another node can serve.
     """
     if node.config is None or node.stopping_at is not None:
         return False
+    if node_config.is_outdated(node):
+        return False
     now = clock()
     if node.health.failing_s(now) < UNREADY_AFTER_S:
         return True
--- a/cornelward/node_config.py
+++ b/cornelward/node_config.py
@@ -17,6 +17,7 @@
     "confirm",
     "feed_age_s",
     "is_confirmed",
+    "is_outdated",
     "on_reply",
     "on_request",
     "on_version",
@@ -37,7 +38,8 @@
 # heartbeats may be as rare as one in 1.5 s.
 REPEATED_AFTER_S = (0.4, 0.8)
 # A refusal is given without a question if the configuration was confirmed within this
-# part of the time within which a new one has to be in force.
+# part of the time within which a new one has to be in force. A node that has known of a
+# newer one for as long serves nothing by its own.
 CONFIRMED_PART = 0.5
 # Number of the latest questions to other nodes whose answers count.
 QUESTIONS_KEPT = 32
@@ -249,6 +251,12 @@
     return config_sync.is_confirmed(node.config_state.sync, node.deps.now(), limit_s)
 
 
+def is_outdated(node):
+    """Return whether this node has long lacked a newer configuration."""
+    limit_s = CONFIRMED_PART * node.settings.config_apply_s
+    return config_sync.is_outdated(node.config_state.sync, node.deps.now(), limit_s)
+
+
 def confirm(node, on_done):
     """Ask other nodes for the newest version; ``on_done()`` within ``CONFIRM_S``."""
     state = node.config_state
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -48,6 +48,13 @@
             "this node has not read its configuration yet",
         )
         return
+    if node_config.is_outdated(node):
+        _note_refusal(node, call, "outdated")
+        text = "this node does not have the newest configuration"
+        refuse(
+            call, 503, PLATFORM_UNAVAILABLE, text, retry_s=0, headers=CLOSE_CONNECTION
+        )
+        return
     target, decision = _admit(node, call)
     if decision.refusal is None:
         _serve(node, call, target, decision)
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -102,6 +102,23 @@
     assert_that(config_sync.behind_s(state, 7.0), Equals(0.0))
 
 
+def test_node_is_outdated_while_others_name_a_version_that_it_lacks(rng):
+    state = ConfigSync(0.0)
+    config_sync.note_adopted(state, 3)
+    config_sync.note_heard(state, 5.0, "leader", 3, rng)
+    assert_that(config_sync.is_outdated(state, 9.0, 2.0), Equals(False))
+    config_sync.note_heard(state, 10.0, "leader", 4, rng)
+    assert_that(config_sync.is_outdated(state, 11.9, 2.0), Equals(False))
+    assert_that(config_sync.is_outdated(state, 12.0, 2.0), Equals(True))
+    config_sync.note_heard(state, 13.0, "leader", 4, rng)
+    assert_that(config_sync.is_outdated(state, 16.9, 2.0), Equals(True))
+    # All that had it may be gone: then every node would refuse until the store is back.
+    assert_that(config_sync.is_outdated(state, 17.1, 2.0), Equals(False))
+    config_sync.note_heard(state, 18.0, "leader", 4, rng)
+    config_sync.note_adopted(state, 4)
+    assert_that(config_sync.is_outdated(state, 18.1, 2.0), Equals(False))
+
+
 def test_version_is_not_confirmed_while_a_newer_one_is_known(rng):
     # The store may let a node read old rows.
     state = ConfigSync(0.0)
--- a/tests/test_large_config.py
+++ b/tests/test_large_config.py
@@ -11,6 +11,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
+from cornelward import node as node_shell
 from cornelward import node_config, node_messages
 from cornelward.messages import (
     NodeConfigReply,
@@ -58,8 +59,9 @@
     """Nodes in simulated time whose links take what they are sent one after another.
 
     ``n0`` leads; it and all to ``n11`` have the store and fast links, the others
-    neither: theirs carry ``slow_bytes_per_s``. One message in twenty is lost. ``received`` is the number of
-    bytes that were sent to each node, ``adopted_at`` has (node's address, version).
+    neither: theirs carry ``slow_bytes_per_s``. One message in twenty is lost.
+    ``received`` is the number of bytes that were sent to each node, ``adopted_at`` has
+    (node's address, version).
     """
 
     def __init__(self, seed, slow_bytes_per_s, nodes=35, fed=12):
@@ -205,5 +207,13 @@
     now = late.deps.now()
     cluster.wait(lambda: late.deps.now() > now + APPLY_S / 2)
     assert_that(cluster.submit(late, JOB, STEPS), Equals(503))
-    assert_that(cluster.call(late, "GET", "/jobs/").status, Equals(503))
+    answer = cluster.call(late, "GET", "/jobs/")
+    # The caller's next connection reaches another node.
+    assert_that(answer.status, Equals(503))
+    assert_that(answer.headers["connection"], Equals("close"))
+    assert_that(node_shell.is_ready(late), Equals(False))
     assert_that(late.config.version, Equals(1))
+    cluster.proxies[late.settings.node].clear_faults()
+    cluster.wait(lambda: late.config.version == 2)
+    assert_that(node_shell.is_ready(late), Equals(True))
+    assert_that(cluster.submit(late, JOB, STEPS), Equals(404))
