Relayed starts: name the time by which they must be sent, on the leader's clock

Cause: the leader drops its own starts after MAX_START_AGE_S from the worker's answer that they rely on; relayed orders did not carry that time, and the relay sent them whenever they arrived. Change: each order has send_by on the leader's clock. A node asks its leader for its clock with the first heartbeat and each 10 s, and counts the whole round trip as the leader's time, so that the bound errs to the safe side. It sends an order only by then, and reports it as too late otherwise; the run then waits for its worker's next answer, as after a late start of the leader's own. Without a bound it refuses, and the leader sends directly. Tests: start_late modelled a relay that does not know how late it is, which no longer exists; start_by_relay replaces it in this test, with another clock and the product's bound, and checks in addition that no late start arrives. test_start_relay holds the node's side.

--- a/cornelward/messages.py
+++ b/cornelward/messages.py
@@ -4,6 +4,7 @@
 is the name of the message class. Times are in seconds.
 """
 
+import math
 from typing import Any, NamedTuple
 
 import msgspec
@@ -14,6 +15,8 @@
     "AdviceRequest",
     "CancelReply",
     "CancelRequest",
+    "ClockQuery",
+    "ClockReply",
     "ConfigAnnounce",
     "ConfigRequest",
     "Credit",
@@ -360,7 +363,8 @@
     """An order to start an attempt of a task on a worker at ``address``.
 
     ``deadline_s`` is the end of the worker's lease, on the worker's clock. ``ticket``
-    and ``checkpoint`` are empty if there is none.
+    and ``checkpoint`` are empty if there is none. It must not be sent to the worker
+    after ``send_by``, on the leader's clock.
     """
 
     worker: str
@@ -370,6 +374,7 @@
     deadline_s: float
     ticket: str
     checkpoint: str
+    send_by: float = math.inf
 
 
 class StartOrders(NamedTuple):
@@ -393,6 +398,23 @@
     results: list[tuple[str, str, int, str]]
 
 
+class ClockQuery(NamedTuple):
+    """Asks what the receiver's clock shows; the reply goes to ``address``.
+
+    ``sent_at`` is a time on the sender's clock.
+    """
+
+    address: str
+    sent_at: float
+
+
+class ClockReply(NamedTuple):
+    """What the sender's clock shows; ``sent_at`` is that of the ClockQuery."""
+
+    sent_at: float
+    clock: float
+
+
 class DeliveryCheck(NamedTuple):
     """Asks whether the messages before it arrived, or confirms that they did.
 
@@ -422,6 +444,8 @@
         AdviceRequest,
         CancelReply,
         CancelRequest,
+        ClockQuery,
+        ClockReply,
         ConfigAnnounce,
         ConfigRequest,
         DeliveryCheck,
--- a/cornelward/node_messages.py
+++ b/cornelward/node_messages.py
@@ -12,6 +12,7 @@
     node_leader_search,
     node_requests,
     node_starts,
+    peer_clocks,
 )
 from . import node as node_shell
 from .messages import (
@@ -19,6 +20,8 @@
     AdviceRequest,
     CancelReply,
     CancelRequest,
+    ClockQuery,
+    ClockReply,
     FormerLeaderQuery,
     FormerLeaderReply,
     InsertReply,
@@ -78,6 +81,30 @@
         node.peer_state.peers = [a for a in heartbeat.nodes if a != node.address]
     _note_incarnation(node, envelope, heartbeat.address)
     node_shell.answer_heartbeat(node, heartbeat)
+    _ask_clock(node, envelope, heartbeat.address)
+
+
+def _ask_clock(node, envelope, address):
+    """Ask the leader for its clock if that is due; its start orders need it."""
+    now, clocks = node.deps.now(), node.peer_state.clocks
+    peer_clocks.forget_unused(clocks, now)
+    sender = envelope.sender, envelope.incarnation
+    if peer_clocks.is_query_due(clocks, now, *sender):
+        node.peers.send(address, ClockQuery(node.address, now))
+
+
+def _on_clock_query(node, envelope, query):
+    reply = ClockReply(query.sent_at, node.deps.now())
+    node.peers.send(query.address, reply)
+
+
+def _on_clock_reply(node, envelope, reply):
+    clocks, (sender, incarnation, _) = node.peer_state.clocks, envelope
+    if clocks.asked_at.get(sender) != reply.sent_at:
+        # Asked by a former process, whose clock may have been another.
+        node_requests.drop_reply(envelope, "not_asked")
+        return
+    peer_clocks.note_reply(clocks, sender, incarnation, reply.sent_at, reply.clock)
 
 
 def _note_incarnation(node, envelope, address):
@@ -157,7 +184,7 @@
 
 
 def _on_start_orders(node, envelope, message):
-    node_starts.on_start_orders(node, message)
+    node_starts.on_start_orders(node, envelope, message)
 
 
 def _on_start_results(node, envelope, message):
@@ -185,6 +212,8 @@
     WorkspaceStateRequest: _on_state_request,
     AdviceRequest: _on_advice_request,
     AdviceReply: _on_advice_reply,
+    ClockQuery: _on_clock_query,
+    ClockReply: _on_clock_reply,
     NodeConfigReply: node_config.on_reply,
     NodeConfigRequest: node_config.on_request,
     NodeConfigVersion: node_config.on_version,
--- a/cornelward/node_requests.py
+++ b/cornelward/node_requests.py
@@ -16,6 +16,7 @@
     WorkspaceStateRequest,
 )
 from .node_inserts import LEADER_STORE_FRESH_S
+from .peer_clocks import PeerClocks
 from .staged_jobs import CANCELLED, COMPLETED, FAILED, QUEUED, RUNNING
 from .start_relay import Payloads
 
@@ -82,6 +83,7 @@
         # Addresses of the other nodes.
         self.peers = []
         self.payloads = Payloads()
+        self.clocks = PeerClocks()
 
 
 def send_request(node, address, make, limit_s, on_reply):
--- a/cornelward/node_starts.py
+++ b/cornelward/node_starts.py
@@ -4,9 +4,7 @@
 row: another node may have taken over meanwhile.
 """
 
-import math
-
-from . import dispatch, dispatch_runs
+from . import dispatch, dispatch_runs, peer_clocks
 from .log import get_logger
 from .messages import StartOrder, StartOrders, StartResults
 from .start_relay import digest_of, is_worth_relaying
@@ -129,6 +127,7 @@
         effect.deadline_s,
         effect.ticket,
         run.checkpoint,
+        effect.send_by,
     )
 
 
@@ -144,13 +143,18 @@
     node.deps.schedule_step(node)
 
 
+def _on_answer(node, term, effect, answer):
+    """Take the answer to a start; one that was too late waits for its worker."""
+    if answer == "too_late" and not term.closed:
+        dispatch.retry_late_start(term.dispatcher, effect.run, effect.ticket)
+        node.deps.schedule_step(node)
+    else:
+        _report(node, term, effect.run, answer)
+
+
 def _start(node, term, effect):
     def done(answer):
-        if answer == "too_late" and not term.closed:
-            dispatch.retry_late_start(term.dispatcher, effect.run, effect.ticket)
-            node.deps.schedule_step(node)
-        else:
-            _report(node, term, effect.run, answer)
+        _on_answer(node, term, effect, answer)
 
     _log_start(effect.run, node.settings.node)
     payload = effect.run.job.spec.payload
@@ -205,27 +209,36 @@
             effect.run.job.entry = None
             execute_starts(node, term, [effect])
         else:
-            _report(node, term, effect.run, answer)
+            _on_answer(node, term, effect, answer)
 
 
 # On the node that accepted the job
 
 
-def on_start_orders(node, message):
-    """Carry out the leader's start orders, unless they may be outdated."""
+def on_start_orders(node, envelope, message):
+    """Carry out the leader's start orders, unless they may be outdated.
+
+    Each is sent only while the leader's clock certainly shows no more than its
+    ``send_by``: the orders may have been under way for long.
+    """
+    now = node.deps.now()
+    leader_clock = peer_clocks.latest(
+        node.peer_state.clocks, now, envelope.sender, envelope.incarnation
+    )
     payload = node.peer_state.payloads.get(message.job_id)
     if payload is not None and digest_of(payload) != message.payload_digest:
         # A later submission of the same id had another payload.
         payload = None
     known_token = node.leadership.heartbeat_token or 0
-    paused = node.deps.now() - node.ticked_at > PAUSED_AFTER_S
-    if payload is None or paused or message.token < known_token:
+    paused = now - node.ticked_at > PAUSED_AFTER_S
+    if payload is None or paused or leader_clock is None or message.token < known_token:
         log(
             "info",
             "orders_not_sent",
             job=message.job_id,
             token=message.token,
             paused=paused,
+            clock_known=leader_clock is not None,
         )
         results = [(o.worker, o.task, o.attempt, "unsent") for o in message.orders]
         node.peers.send(message.address, StartResults(message.token, results))
@@ -248,6 +261,6 @@
             order,
             payload,
             message.token,
-            math.inf,
+            now + order.send_by - leader_clock,
             lambda answer, o=order: done(o, answer),
         )
--- a/tests/test_former_leases.py
+++ b/tests/test_former_leases.py
@@ -5,6 +5,7 @@
 only be cut off from the store and go on.
 """
 
+import math
 import random
 from types import SimpleNamespace
 
@@ -22,7 +23,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Not
 
-from cornelward import dispatch, leadership, lease_marks, node_former
+from cornelward import dispatch, leadership, lease_marks, node_former, peer_clocks
 from cornelward.messages import FormerLeaderQuery, FormerLeaderReply
 from cornelward.node_leader import LeaderTerm
 
@@ -251,7 +252,22 @@
     leader.sim.after(1.0, lambda: leader.send_start(effect))
 
 
-@pytest.mark.parametrize("start", [start_in_turn, start_late])
+def start_by_relay(leader, effect):
+    """Carry out a Start 1 s late, by a node whose clock differs from the leader's."""
+    sim, clocks, ahead_s = leader.sim, peer_clocks.PeerClocks(), 500.0
+    peer_clocks.note_reply(clocks, "leader", 1, sim.now + ahead_s - 0.02, sim.now)
+
+    def carry_out():
+        clock = peer_clocks.latest(clocks, sim.now + ahead_s, "leader", 1)
+        if clock <= effect.send_by:
+            leader.send_start(effect._replace(send_by=math.inf))
+        else:
+            dispatch.retry_late_start(leader.core, effect.run, effect.ticket)
+
+    sim.after(1.0, carry_out)
+
+
+@pytest.mark.parametrize("start", [start_in_turn, start_by_relay])
 def test_successor_that_never_hears_of_a_restart_starts_no_second_run(
     monkeypatch, start
 ):
@@ -275,7 +291,7 @@
         worker.cut_from.add(sim.token + 1)
     sim.run(0.9)
     reached = [w for w in restarted if w.running]
-    assert_that(bool(reached), Equals(start is start_late))
+    assert_that(reached, Equals([]))
     for worker in restarted:
         worker.info = worker.info._replace(born=1)
     monkeypatch.undo()
--- a/tests/test_start_relay.py
+++ b/tests/test_start_relay.py
@@ -16,10 +16,17 @@
     dispatch_runs,
     node_leader,
     node_starts,
+    peer_clocks,
 )
 from cornelward.dispatch_effects import Start
 from cornelward.http_client import HttpResult
-from cornelward.messages import StartOrder, StartOrders, StartResults, encode
+from cornelward.messages import (
+    Envelope,
+    StartOrder,
+    StartOrders,
+    StartResults,
+    encode,
+)
 from cornelward.node_leader import LeaderTerm
 from cornelward.node_requests import PeerState
 from cornelward.platform.worker_commands import (
@@ -55,8 +62,11 @@
         call_later=lambda delay_s, function: node.timers.append((delay_s, function))
     )
 
+    node.send_by = []
+
     def start(order, payload, token, send_by, on_done):
         node.orders.append((order, payload, token))
+        node.send_by.append(send_by)
         node.answers.append(on_done)
 
     node.deps = SimpleNamespace(
@@ -161,14 +171,24 @@
     assert_that(stops, Equals(["Stop"] * 20))
 
 
-def orders_message(token=7):
-    order = StartOrder("w0", "addr", f"{JOB}.0.0.0", 1, 100.0, "t", "")
-    return StartOrders(ENTRY, token, JOB, [order], digest_of("text"))
+def receive_orders(node, token=7, send_by=math.inf, incarnation=1):
+    """Let an order of the leader arrive, as a process of ``incarnation`` sent it."""
+    order = StartOrder("w0", "addr", f"{JOB}.0.0.0", 1, 100.0, "t", "", send_by)
+    message = StartOrders(ENTRY, token, JOB, [order], digest_of("text"))
+    envelope = Envelope("leader", incarnation, message)
+    node_starts.on_start_orders(node, envelope, message)
+
+
+def learn_clock(node, ahead_s=0.0):
+    """Let the node know that the leader's clock is ahead by up to ``ahead_s``."""
+    clocks = node.peer_state.clocks
+    peer_clocks.note_reply(clocks, "leader", 1, node.now, node.now + ahead_s)
 
 
 def test_entry_carries_orders_out_and_reports_their_results(node):
     node.peer_state.payloads.add(JOB, "text")
-    node_starts.on_start_orders(node, orders_message())
+    learn_clock(node)
+    receive_orders(node)
     ((order, payload, token),) = node.orders
     assert_that((order.task, payload, token), Equals((f"{JOB}.0.0.0", "text", 7)))
     node.answers[0]("ok")
@@ -178,7 +198,15 @@
 
 
 @pytest.mark.parametrize(
-    "reason", ["no payload", "another payload", "paused", "former leader"]
+    "reason",
+    [
+        "no payload",
+        "another payload",
+        "paused",
+        "former leader",
+        "unknown clock",
+        "clock of a former process",
+    ],
 )
 def test_entry_refuses_orders_that_may_be_outdated(node, reason):
     if reason != "no payload":
@@ -190,11 +218,36 @@
         node.ticked_at = node.now - node_starts.PAUSED_AFTER_S - 0.1
     if reason == "former leader":
         node.leadership.heartbeat_token = 8
-    node_starts.on_start_orders(node, orders_message())
+    if reason != "unknown clock":
+        learn_clock(node)
+    incarnation = 2 if reason == "clock of a former process" else 1
+    receive_orders(node, incarnation=incarnation)
     assert_that(node.orders, Equals([]))
     assert_that(node.messages[0][1].results[0][3], Equals("unsent"))
 
 
+def test_entry_sends_no_start_after_its_time_on_the_leaders_clock(node):
+    # TWICE: orders that were under way for 1 s reached workers that had restarted.
+    node.peer_state.payloads.add(JOB, "text")
+    learn_clock(node, ahead_s=1_000.0)
+    receive_orders(node, send_by=node.now + 1_000.4)
+    assert_that(round(node.send_by[0] - node.now, 6), Equals(0.4))
+    receive_orders(node, send_by=node.now + 999.4)
+    assert_that(round(node.send_by[1] - node.now, 6), Equals(-0.6))
+
+
+def test_relayed_start_that_was_too_late_waits_for_the_workers_next_answer(node):
+    term, starts = started_job(node)
+    node_starts.execute_starts(node, term, starts)
+    orders = node.messages[0][1].orders
+    assert_that([o.send_by for o in orders], Equals([s.send_by for s in starts]))
+    results = [(o.worker, o.task, o.attempt, "too_late") for o in orders]
+    node_starts.on_start_results(node, term, StartResults(7, results))
+    assert_that(node.orders, Equals([]))
+    again = starts_after_answers(term, node.now)
+    assert_that({s.run for s in again}, Equals({s.run for s in starts}))
+
+
 def test_leader_that_was_paused_starts_nothing_before_it_renewed_its_row(node):
     # A leader frozen from 20 s to 26 s sent starts at 26.00 s, three leaders later.
     # Only the fence of each worker kept them from running.
