--- a/cornelward/platform_client.py
+++ b/cornelward/platform_client.py
@@ -38,6 +38,9 @@
 def connect_platform(client, addr, failure_domain, timeout_s, observe=None):
     """Return the Platform at ``addr``.
 
+    A call is given up after ``timeout_s`` without a byte of its response. Documents,
+    objects and pages have no limit on their size.
+
     ``observe(operation, outcome)`` is called at the end of each call; outcomes are
     ``ok``, ``conflict`` and ``failed``.
     """
@@ -76,6 +79,7 @@
             headers=(*domain, *headers),
             body=body,
             timeout_s=timeout_s,
+            stall_s=timeout_s,
         )
 
     return call
--- a/tests/fixtures_simulation.py
+++ b/tests/fixtures_simulation.py
@@ -250,7 +250,9 @@
             body=b"",
             timeout_s,
             send_by=math.inf,
+            stall_s=None,
         ):
+            # Responses arrive whole.
             if not loop.dead:
                 self.network.request(
                     loop, addr, method, path, on_done, headers, body, timeout_s, send_by
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -4,6 +4,7 @@
 that are reported as failures, and rows missing from paged listings.
 """
 
+import random
 from types import SimpleNamespace
 
 import pytest
@@ -16,6 +17,7 @@
 from cornelward.loop import Loop
 from cornelward.platform_client import Conflict, connect_platform
 from standins import platform
+from standins.proxy import Proxy
 
 CALL_TIMEOUT_S = 0.2
 RUN_LIMIT_S = 30
@@ -56,6 +58,7 @@
     call.post = post
     call.switch = lambda **changes: post("/switch", changes)
     call.run, call.client, call.address = run, client, server.address
+    call.loop = loop
     yield call
     server.server.close()
 
@@ -101,6 +104,17 @@
     assert_that(second > first, Equals(True))
 
 
+def test_object_of_any_size_arrives_over_a_slow_link(call):
+    # It was given up after the time limit of the call, whatever had arrived by then.
+    body = random.Random(1).randbytes(100_000)
+    call("put_object", "large", body)
+    proxy = Proxy(call.loop, call.address)
+    proxy.bytes_per_s = 2 * len(body)
+    operations = connect_platform(call.client, proxy.address, "a", CALL_TIMEOUT_S)
+    found = call.run(lambda done: operations.get_object("large", done))
+    assert_that(found == body, Equals(True))
+
+
 def test_membership_list_is_sent_again_only_if_it_changed(call):
     statuses = []
 
