--- a/tests/test_config_parts.py
+++ b/tests/test_config_parts.py
@@ -10,9 +10,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength
 
-from cornelward import node_config
+from cornelward import config_sync, document_transfer, node_config
 from cornelward.commits import Refused, Unknown
-from cornelward.messages import Envelope, NodeConfigVersion
+from cornelward.messages import Envelope, NodeConfigReply, NodeConfigVersion
 from cornelward.platform.store import Changes, HistoryLost, Listing, StoreRow
 
 OWN, LEADER, PEER = "10.0.0.1:1", "10.0.0.9:1", "10.0.0.5:1"
@@ -183,3 +183,29 @@
     assert_that(node_config.is_confirmed(node), Equals(True))
     node_config._adopt(node, value, PEER)
     assert_that(node_config.is_confirmed(node), Equals(False))
+
+
+def receive_reply(node, version, part=b"", size=0):
+    """Let PEER answer a question of the node that knows of version 4."""
+    sync = node.config_state.sync
+    config_sync.note_heard(sync, node.now, LEADER, 4, node.rng)
+    node_config._ask(node, PEER)
+    sent_at = node.sent[-1][1].sent_at
+    reply = NodeConfigReply(PEER, version, None, sent_at, part, 0, size)
+    node_config.on_reply(node, Envelope("n5", 1, reply), reply)
+    return sync
+
+
+def test_another_node_is_asked_at_once_if_one_lacks_the_version(node):
+    assert_that(receive_reply(node, 3).pull_at, Equals(node.now))
+
+
+def test_part_postpones_the_next_question_until_its_sender_had_time(node):
+    outgoing = document_transfer.Outgoing(bytes(2 * document_transfer.PART_BYTES))
+    size = len(outgoing.document)
+    sync = receive_reply(node, 4, outgoing.part(0), size)
+    assert_that(sync.pull_at, Equals(node.now + config_sync.PULL_RETRY_S))
+    assert_that(sync.source, Equals(PEER))
+    # The version comes by the store meanwhile: its parts are not kept.
+    node.answer(Changes([row(4)], 40))
+    assert_that(node.config_state.partial, Equals(None))
