--- a/review/cell2/cluster.py
+++ b/review/cell2/cluster.py
@@ -209,13 +209,17 @@
             self.executors.append(executor)
             await executor.start()
         self.store.put("op", "config", json.dumps(CONFIG).encode())
-        addresses = self.store.server.address, self.advice.address
         for number in range(self.node_count):
-            self.nodes.append(_Node(f"edge-{number}", self.folder, *addresses))
-            self.nodes[-1].start()
+            self.add_node(f"edge-{number}").start()
         for node in self.nodes:
             await self._wait_until_ready(node)
 
+    def add_node(self, name):
+        """Return a further node, which is to be started."""
+        addresses = self.store.server.address, self.advice.address
+        self.nodes.append(_Node(name, self.folder, *addresses))
+        return self.nodes[-1]
+
     async def _wait_until_ready(self, node):
         until = time.monotonic() + READY_WITHIN_S
         while time.monotonic() < until:
--- a/review/cell2/executor.py
+++ b/review/cell2/executor.py
@@ -30,7 +30,7 @@
         self.run_s = run_s
         self.on_event = on_event
         self.server = Server(self.handle)
-        self.is_up = False
+        self.is_up = self.is_lost = False
         self.life = 0
         self.running = {}
 
@@ -57,11 +57,19 @@
 
     def crash(self):
         """Lose everything and close all connections; ``boot`` ends the silence."""
+        self._lose_all()
+        self.server.reset_all()
+
+    def lose(self):
+        """Lose everything for good, and answer nothing: connections hang."""
+        self.is_lost = True
+        self._lose_all()
+
+    def _lose_all(self):
         self.is_up = False
         for task, run in self.running:
             self.on_event("lost", self, task, run, "crash")
         self.running = {}
-        self.server.reset_all()
         life = self.life
 
         def expire():
@@ -98,7 +106,7 @@
 
     async def handle(self, request):
         if not self.is_up:
-            return RESET
+            return LOST if self.is_lost else RESET
         if request.headers.get("expect-instance", self.id) != self.id:
             return 421, {}
         body, life = request.json(), self.life
