Let suspects of crashes share trials, and only those that had just started

A rack of three crashes for 4.5 s; its 120 jobs are started again twelve each 2 s, and 100 and more have nothing running 17 s later, with two thirds of the room free.

Cause: each task on a crashed worker was a suspect, and a job with suspects had a worker to itself for a trial of 1.2 s, seen by two polls of 1 s. With half of the workers in trial, N suspects waited for N / (workers / 2) x 2 s.

Change: a task that was seen for more than 1 s is no suspect, as the trial could not blame it. Suspects with fewer than two confirmed crashes join the trials of others where half of the workers are in trial. With two confirmed crashes a job is alone, and only a crash there, with no other job's run that had just started, is conclusive. Crashes that coincide with a loss without a fresh run are not confirmed. A job's suspects spread once one has outlasted its trial; polls return when a trial ends; a settled run is not counted beside runs on trial.

--- a/cornelward/capacity_index.py
+++ b/cornelward/capacity_index.py
@@ -14,6 +14,7 @@
     "close_worker",
     "is_half_free",
     "is_slow",
+    "move_worker",
     "refresh",
     "sort_key",
 ]
@@ -131,10 +132,10 @@
         _add_worker(capacity, worker)
 
 
-def _add_worker(capacity, worker):
+def _add_worker(capacity, worker, free=None):
     worker_id = worker.info.id
     capacity.workers[worker_id] = worker
-    capacity.free[worker_id] = list(free_capacity(worker))
+    capacity.free[worker_id] = free or list(free_capacity(worker))
     order = capacity.workers_by_free_cpu.setdefault(worker.info.service, SortedList())
     key = capacity.keys[worker_id] = sort_key(capacity, worker)
     order.add(key)
@@ -156,6 +157,13 @@
     worker.changed = True
 
 
+def move_worker(source, target, worker):
+    """Close a worker in ``source`` and add it to ``target`` with what is free now."""
+    free = source.free[worker.info.id]
+    close_worker(source, worker)
+    _add_worker(target, worker, free)
+
+
 def is_half_free(capacity, service):
     """Return whether less than half of each resource of the usable workers is in use.
 
--- a/cornelward/crash_trials.py
+++ b/cornelward/crash_trials.py
@@ -1,73 +1,195 @@
-"""Core: places the tasks of jobs under which workers have crashed.
+"""Core: places the tasks of jobs under which workers have crashed soon after a start.
 
-Such a task is a suspect. A job with suspects starts tasks on one worker at a time (a
-gang on as few as it needs), and no other job starts tasks there until the trial has
-ended (``workers.is_in_trial``). So a further crash breaks few runs and shows which job
-is the cause, and a step whose tasks all crash their workers takes down one more.
+Such a task is a suspect. Suspects are on trial for a while after their start; nothing
+else is started on their worker meanwhile, so that a further crash breaks few runs and
+shows which tasks may be the cause. Tasks with one crash share workers, as one crash
+makes many suspects. After a second one, a job is alone on the worker of its trial: the
+next crash shows that it is the cause.
 """
 
 from . import planning
-from .capacity_index import close_worker
-from .workers import QUICK_CRASH_S, is_in_trial
-
-__all__ = ["begin", "fit_suspects", "has_suspects", "tasks_to_place"]
+from .capacity_index import FreeCapacity, close_worker, move_worker
+from .planning import MAX_COMPARED_WORKERS
+from .staged_jobs import DONE
+from .workers import (
+    QUICK_CRASH_S,
+    has_recent_start,
+    is_in_trial,
+    outlasted_trial,
+    runs_on_trial,
+    unusable_reason,
+)
+
+__all__ = [
+    "TrialPass",
+    "begin",
+    "fit_suspects",
+    "has_suspects",
+    "is_suspect",
+    "tasks_to_place",
+]
 
 # Largest share of the reachable workers that may be in trial; one worker always may.
 MAX_TRIAL_SHARE = 0.5
+# From these numbers of crashes on, a task is placed on a worker without other suspects.
+CONFIRMED_TO_ISOLATE = 2
+CRASHES_TO_ISOLATE = 4
+
+
+class TrialPass:
+    """The workers in trial, as one planning pass sees and changes them.
+
+    ``shared`` is the FreeCapacity of those that further suspects may join; ``count`` is
+    the number of reachable workers in trial, ``limit`` the largest one. They are None
+    until a suspect has to be placed.
+    """
 
+    __slots__ = ("count", "limit", "shared", "workers")
 
-def has_suspects(job, tasks):
+    def __init__(self, workers):
+        self.workers = workers
+        self.shared = self.count = self.limit = None
+
+
+def has_suspects(tasks):
     """Return whether one of the tasks is a suspect."""
-    return any(_is_suspect(job, task) for task in tasks)
+    return any(is_suspect(task) for task in tasks)
 
 
-def _is_suspect(job, task):
-    """Return whether a worker has crashed under the task, which may be the cause.
+def is_suspect(task):
+    """Return whether workers have crashed under the task, each soon after its start.
 
-    A long-running task that had run for a while is owed its next run at once.
+    A trial would not show whether a task that ran for longer is the cause.
     """
-    lasts = job.spec.steps[task.key[1]].long_running
-    return task.crashes > 0 and (task.ran_s <= QUICK_CRASH_S or not lasts)
+    return task.crashes > 0 and task.ran_s <= QUICK_CRASH_S
+
+
+def _is_isolated(task):
+    return is_suspect(task) and (
+        task.confirmed_crashes >= CONFIRMED_TO_ISOLATE
+        or task.crashes >= CRASHES_TO_ISOLATE
+    )
 
 
 def _has_trial(job):
     job.trial_workers = [worker for worker in job.trial_workers if is_in_trial(worker)]
     return any(
-        run.job is job for worker in job.trial_workers for run in worker.trial_runs
+        run.job is job for worker in job.trial_workers for run in runs_on_trial(worker)
     )
 
 
-def tasks_to_place(job, tasks):
-    """Return which placeable tasks of a step may be placed now; suspects come first."""
-    if _has_trial(job):
+def _has_passed_trial(job, workers):
+    """Return whether a suspect of the job has outlasted a trial."""
+    for tasks in job.tasks.values():
+        for task in tasks:
+            if not is_suspect(task):
+                continue
+            worker = task.run and workers.get(task.run.worker)
+            if task.state == DONE or (worker and outlasted_trial(worker, task.run)):
+                return True
+    return False
+
+
+def tasks_to_place(job, tasks, workers):
+    """Return which placeable tasks of a step may be placed now; suspects come first.
+
+    Until one of the suspects has outlasted a trial, they are placed on one worker at a
+    time. ``workers`` maps the ids of all workers to them.
+    """
+    if _has_trial(job) and not _has_passed_trial(job, workers):
         return []
-    suspects = [task for task in tasks if _is_suspect(job, task)]
+    suspects = [task for task in tasks if is_suspect(task)]
     if not suspects or job.spec.steps[suspects[0].key[1]].gang:
         return tasks
-    return suspects
+    return [task for task in suspects if _is_isolated(task)] or suspects
+
+
+def _prepare(trials, capacity):
+    """Count the workers in trial once a pass, and find those that may be joined."""
+    if trials.shared is not None:
+        return
+    in_trial = [w for w in trials.workers.values() if is_in_trial(w)]
+    reachable = [w for w in in_trial if not w.failed_polls]
+    trials.count = len(reachable)
+    trials.limit = max(1, MAX_TRIAL_SHARE * (len(capacity.workers) + trials.count))
+    trials.shared = FreeCapacity(
+        worker
+        for worker in reachable
+        if unusable_reason(worker, capacity.now) == "in trial"
+        and not any(_is_isolated(run.task) for run in runs_on_trial(worker))
+    )
+    trials.shared.now = capacity.now
+    trials.shared.reserved_workers = capacity.reserved_workers
 
 
-def fit_suspects(workers, capacity, candidate, service):
-    """Return Placements for the suspects of a step, if another trial may begin now.
+def fit_suspects(trials, capacity, candidate, service):
+    """Return Placements for suspects of a step, on workers whose trial may begin now.
 
-    ``workers`` are all workers that the leader knows.
+    Beside other suspects they may also be placed where a trial has begun.
     """
-    in_trial = sum(
-        is_in_trial(worker) and not worker.failed_polls for worker in workers
-    )
-    if in_trial >= max(1, MAX_TRIAL_SHARE * (len(capacity.workers) + in_trial)):
+    _prepare(trials, capacity)
+    job, key, tasks = candidate[:3]
+    is_alone = any(_is_isolated(task) for task in tasks)
+    if job.spec.steps[key[1]].gang:
+        return _fit(trials, capacity, candidate, service, is_alone, _fit_gang)
+    placed = []
+    while len(placed) < len(tasks):
+        rest = candidate._replace(tasks=tasks[len(placed) :])
+        found = _fit(trials, capacity, rest, service, is_alone, _fit_on_one_worker)
+        placed += found
+        if not found or is_alone or not _has_passed_trial(job, trials.workers):
+            break
+    return placed
+
+
+def _fit(trials, capacity, candidate, service, is_alone, fit):
+    """Return the Placements of ``fit`` on workers that begin a trial or share theirs.
+
+    An isolated suspect leaves room for a trial of others.
+    """
+    left = trials.limit - trials.count
+    if left > 0 and (not is_alone or left > 1 or trials.limit < 2):
+        placed = fit(capacity, candidate, service)
+        for worker in {p.worker.info.id: p.worker for p in placed}.values():
+            trials.count += 1
+            if is_alone:
+                close_worker(capacity, worker)
+            else:
+                move_worker(capacity, trials.shared, worker)
+        if placed:
+            return placed
+    return [] if is_alone else fit(trials.shared, candidate, service)
+
+
+def _fit_gang(capacity, candidate, service):
+    """Return Placements of a gang, if it fits on workers without recent starts."""
+    fit = planning.fit_gang
+    placed = fit(capacity, candidate, service, lambda w: not has_recent_start(w))
+    return placed or fit(capacity, candidate, service) or []
+
+
+def _fit_on_one_worker(capacity, candidate, service):
+    """Return Placements on the worker that suits a trial best of the emptiest ones.
+
+    That has no runs that have just started, few on trial and few in all.
+    """
+    slots = planning.emptiest_slots(capacity, candidate, service, MAX_COMPARED_WORKERS)
+    if not slots:
         return []
-    if candidate.job.spec.steps[candidate.key[1]].gang:
-        return planning.fit_gang(capacity, candidate, service)
-    return planning.fit_on_one_worker(capacity, candidate, service)
+    return planning.fill_worker(capacity, candidate, min(slots, key=_trial_preference))
+
+
+def _trial_preference(slot):
+    worker = slot[0]
+    recent = has_recent_start(worker)
+    return recent, len(worker.trial_runs), len(worker.runs), worker.info.id
 
 
-def begin(capacity, job, placements):
-    """Begin the trial of a job whose suspects were placed."""
+def begin(job, placements):
+    """Begin the trial of a job's suspects that were placed."""
     for placement in placements:
         worker, run = placement.worker, placement.task.run
-        if worker not in job.trial_workers:
-            worker.trial_runs = []
+        if not any(known is worker for known in job.trial_workers):
             job.trial_workers.append(worker)
-            close_worker(capacity, worker)
-        worker.trial_runs.append(run)
+        worker.trial_runs = [*runs_on_trial(worker), run]
+        worker.changed = True
--- a/cornelward/dispatch.py
+++ b/cornelward/dispatch.py
@@ -144,6 +144,8 @@
         self.sweep_at = now
         # Crashes of workers under runs, and jobs that failed by them, in this term.
         self.crashed_runs = self.jobs_failed_by_crashes = 0
+        # Recent losses of workers: (id, time of the last answer) -> Loss.
+        self.losses = {}
         self.effects = []
         self.needs_plan = True
         # The next planning pass is not made before this time.
--- a/cornelward/dispatch_crashes.py
+++ b/cornelward/dispatch_crashes.py
@@ -6,20 +6,22 @@
 too, the suspect's job is the cause.
 """
 
+from typing import NamedTuple
+
 from .dispatch_tasks import discard_run, fail_job, request_stop
 from .log import get_logger
 from .workers import (
     QUICK_CRASH_S,
     RECORDING,
     STOPPING,
-    is_in_trial,
     runs_on_trial,
 )
 
-__all__ = ["GONE", "note_crash", "on_worker_gone"]
+__all__ = ["GONE", "last_seen", "note_crash", "note_loss", "on_worker_gone"]
 
 log = get_logger("dispatch_crashes")
 
+
 # Result of a request to a worker whose address another life of the machine has.
 GONE = "gone"
 
@@ -34,6 +36,44 @@
 COINCIDENCE_S = 0.5
 # A long-running task that ran for this long did not crash its worker.
 SURVIVED_S = 30.0
+# A run that was there for this long is not the cause of a crash that runs on trial, or
+# what other workers were lost by, may have caused.
+SETTLED_S = 5.0
+# Losses of workers are kept for this long to compare others with them.
+KEPT_LOSSES_S = 15.0
+
+
+class LastSeen(NamedTuple):
+    """What was known of a worker when its last answer before a crash arrived.
+
+    ``at`` is that time, or None. ``recent`` are the runs that may be the cause, as they
+    had not outlasted a quick crash, and ``on_trial`` those that were on trial.
+    """
+
+    at: float | None
+    recent: list
+    on_trial: list
+
+
+class Loss(NamedTuple):
+    """The loss of a worker; ``is_explained`` if one of its runs may be the cause.
+
+    ``seen_at`` is when its last answer arrived, ``noted_at`` when the crash was noted.
+    """
+
+    seen_at: float
+    rack: str
+    is_explained: bool
+    is_in_trial: bool
+    noted_at: float
+
+
+def last_seen(worker):
+    """Return the LastSeen of a worker, before its runs and last answer are updated."""
+    at = worker.answered_at
+    runs = worker.runs.values()
+    recent = [run for run in runs if _observed_run_s(run, at) <= QUICK_CRASH_S]
+    return LastSeen(at, recent, runs_on_trial(worker))
 
 
 def on_worker_gone(state, now, worker):
@@ -49,7 +89,9 @@
     worker.changed = True
     worker.unrecorded_ends.clear()
     has_crashed = worker.leaves_at is None or now < worker.leaves_at
-    seen_at, on_trial = worker.answered_at, runs_on_trial(worker)
+    seen = last_seen(worker)
+    if has_crashed:
+        note_loss(state, now, worker, seen)
     for run in list(worker.runs.values()):
         if run.state == RECORDING:
             request_stop(state, now, run)
@@ -57,7 +99,7 @@
             # It was not on the worker, or the result of its start tells whether it was.
             continue
         if has_crashed:
-            note_crash(state, now, worker, run, seen_at, on_trial)
+            note_crash(state, now, worker, run, seen)
         discard_run(state, now, run, "its worker is gone")
     state.needs_plan = True
 
@@ -67,29 +109,47 @@
     return run.state == STOPPING and run.stop_sent_at is None
 
 
-def note_crash(state, now, worker, run, seen_at, on_trial):
+def note_loss(state, now, worker, seen):
+    """Note that ``worker``, last seen as in ``seen``, has crashed."""
+    losses, key = state.losses, (worker.info.id, seen.at)
+    for known, loss in list(losses.items()):
+        if loss.noted_at < now - KEPT_LOSSES_S:
+            del losses[known]
+    if seen.at is not None and key not in losses:
+        losses[key] = _loss(worker, seen, now)
+
+
+def _loss(worker, seen, now):
+    is_explained, is_in_trial = bool(seen.recent), bool(seen.on_trial)
+    return Loss(seen.at, worker.info.rack, is_explained, is_in_trial, now)
+
+
+def note_crash(state, now, worker, run, seen):
     """Count a crash of ``worker`` under ``run``; the job may fail by it.
 
-    ``seen_at`` is when the worker's last answer before the crash arrived, or None, and
-    ``on_trial`` are the runs that were on trial then. The count is recorded with the
-    job before any later start of the task.
+    ``seen`` is the worker's LastSeen. The count is recorded with the job before any
+    later start of the task.
     """
     job, task = run.job, run.task
     if task.run is not run or job.outcome is not None:
         return
-    ran_s = _observed_run_s(run, seen_at)
+    ran_s = _observed_run_s(run, seen.at)
     if run.step.long_running and ran_s >= SURVIVED_S:
         return
+    is_common = _has_common_cause(state, worker, seen.at, ran_s)
+    if ran_s >= SETTLED_S and (is_common or seen.on_trial):
+        return
     task.crashes += 1
-    task.confirmed_crashes += run.acked_at is not None
+    task.confirmed_crashes += run.acked_at is not None and not is_common
     task.ran_s = max(task.ran_s, ran_s)
     job.has_crashes = True
     state.crashed_runs += 1
     is_conclusive = (
-        run in on_trial
+        run in seen.on_trial
+        and all(other.job is job for other in (*seen.on_trial, *seen.recent))
         and run.acked_at is not None
         and task.ran_s <= QUICK_CRASH_S
-        and not _others_were_lost(state, worker, seen_at)
+        and not _has_common_cause(state, worker, seen.at, ran_s, in_rack=True)
     )
     log(
         "warning",
@@ -98,7 +158,10 @@
         run=run.attempt,
         worker=worker.info.id,
         crashes=task.crashes,
+        confirmed=task.confirmed_crashes,
         ran_s=round(ran_s, 2),
+        on_trial=len(seen.on_trial),
+        common_cause=is_common,
         conclusive=is_conclusive,
     )
     if _is_to_blame(task, is_conclusive):
@@ -113,16 +176,29 @@
     return max(0.0, seen_at - run.acked_at)
 
 
-def _others_were_lost(state, worker, seen_at):
-    """Return whether workers that are not in trial were lost at about the same time."""
+def _has_common_cause(state, worker, seen_at, ran_s, in_rack=False):
+    """Return whether a crash may have a common cause with the loss of another worker.
+
+    That was at about the same time. For a run that had started soon before, a loss that
+    may be due to another run like that does not count, unless ``in_rack`` is true and
+    both workers are of one rack.
+    """
+    if seen_at is None:
+        return False
+    losses = dict(state.losses)
+    for other in state.workers.values():
+        key = other.info.id, other.answered_at
+        if other.failed_polls and other.answered_at is not None and key not in losses:
+            losses[key] = _loss(other, last_seen(other), other.answered_at)
     return any(
-        other is not worker
-        and other.failed_polls
-        and other.answered_at is not None
-        and abs(other.answered_at - seen_at) <= COINCIDENCE_S
-        and not is_in_trial(other)
-        for other in state.workers.values()
-        if seen_at is not None
+        worker_id != worker.info.id
+        and abs(loss.seen_at - seen_at) <= COINCIDENCE_S
+        and (
+            ran_s > QUICK_CRASH_S
+            or not loss.is_explained
+            or (in_rack and loss.rack == worker.info.rack and not loss.is_in_trial)
+        )
+        for (worker_id, _), loss in losses.items()
     )
 
 
--- a/cornelward/dispatch_jobs.py
+++ b/cornelward/dispatch_jobs.py
@@ -3,6 +3,7 @@
 from . import objectives, queue_index
 from . import staged_jobs as jobs
 from . import workers as worker_table
+from .crash_trials import is_suspect
 from .dispatch_plan import ask_early
 from .dispatch_tasks import mark_dirty, stop_incomplete_gangs
 from .dispatch_workers import unregistered_worker
@@ -93,7 +94,7 @@
             # longest one.
             longest_s = state.cfg["longest_lease_s"]
             assume_longest_lease(worker, now, longest_s)
-        if task.crashes:
+        if is_suspect(task):
             worker.trial_runs.append(run)
             job.trial_workers.append(worker)
         task.run = run if task.state == PLACED else None
--- a/cornelward/dispatch_plan.py
+++ b/cornelward/dispatch_plan.py
@@ -66,6 +66,7 @@
     workspaces: plan_workspaces.WorkspacePass
     # Keys of the steps that may be asked about while they wait for capacity.
     steps_ahead: list
+    trials: crash_trials.TrialPass
 
 
 def plan(state, now):
@@ -85,7 +86,8 @@
         state.cfg.get("cap_overage", 0.0),
         state.is_configured,
     )
-    this_pass = PlanningPass(now, state.capacity, shares, [])
+    trials = crash_trials.TrialPass(state.workers)
+    this_pass = PlanningPass(now, state.capacity, shares, [], trials)
     pacing.begin_pass(state.pacing, now)
     phases = plan_workspaces.phases(shares, state.queue_index)
     for number, closed in enumerate(phases):
@@ -190,7 +192,7 @@
         allowed = advising.valid_tickets(job, key, now, record_time_s(state))
     why = waits.NO_ROOM
     if job.has_crashes:
-        allowed_tasks = crash_trials.tasks_to_place(job, tasks)
+        allowed_tasks = crash_trials.tasks_to_place(job, tasks, state.workers)
         why, tasks = _reason(why, waits.TRIAL, tasks, allowed_tasks), allowed_tasks
     startable = plan_workspaces.startable_tasks(this_pass.workspaces, job, key, tasks)
     why, tasks = _reason(why, waits.WORKSPACE, tasks, startable), startable
@@ -227,7 +229,7 @@
 
 
 def _wait_reason(job, candidate):
-    if crash_trials.has_suspects(job, candidate.tasks):
+    if crash_trials.has_suspects(candidate.tasks):
         return waits.TRIAL_LIMIT
     gang = job.spec.steps[candidate.key[1]].gang
     return waits.GANG_ROOM if gang else waits.NO_ROOM
@@ -237,12 +239,12 @@
     """Place the tasks of a candidate that fit; returns their Placements."""
     now, capacity = this_pass.now, this_pass.capacity
     job, key, tasks = candidate[:3]
-    if planning.fits_nowhere(capacity, candidate, service):
-        return []
-    are_suspects = crash_trials.has_suspects(job, tasks)
+    are_suspects = crash_trials.has_suspects(tasks)
     if are_suspects:
-        workers = state.workers.values()
-        placed = crash_trials.fit_suspects(workers, capacity, candidate, service)
+        trials = this_pass.trials
+        placed = crash_trials.fit_suspects(trials, capacity, candidate, service)
+    elif planning.fits_nowhere(capacity, candidate, service):
+        return []
     elif job.spec.steps[key[1]].gang:
         placed = planning.fit_gang(capacity, candidate, service)
     else:
@@ -253,7 +255,7 @@
         job.started = True
         mark_dirty(state, job)
     if are_suspects:
-        crash_trials.begin(capacity, job, placed or ())
+        crash_trials.begin(job, placed)
     return placed or []
 
 
--- a/cornelward/dispatch_polls.py
+++ b/cornelward/dispatch_polls.py
@@ -10,7 +10,7 @@
     release_leases,
 )
 from .log import get_logger
-from .workers import FRESH_ANSWER_S, QUICK_CRASH_S, has_answered_within
+from .workers import FRESH_ANSWER_S, QUICK_CRASH_S, TRIAL_S, has_answered_within
 
 __all__ = [
     "drop_lost_workers",
@@ -124,15 +124,22 @@
 def _wait_s(worker, now):
     """Return for how long a poll sent now may wait for an end.
 
-    It is answered when a run has outlasted a quick crash, at the latest: how long a run
-    lasted is known only from the latest report before the crash.
+    It is answered when a run has outlasted a quick crash, or its trial, at the latest:
+    how long a run lasted is known only from the latest report before the crash.
     """
-    acked = [run.acked_at for run in worker.runs.values() if run.acked_at is not None]
-    recent = [at for at in acked if now - at <= QUICK_CRASH_S]
-    if not recent:
-        return POLL_WAIT_S
-    outlasted_at = min(recent) + QUICK_CRASH_S + QUICK_CRASH_MARGIN_S
-    return min(POLL_WAIT_S, outlasted_at - now)
+    wait_s = POLL_WAIT_S
+    for run in worker.runs.values():
+        if run.acked_at is None:
+            continue
+        for limit_s in (QUICK_CRASH_S, TRIAL_S):
+            # Only suspects are on trial.
+            if now - run.acked_at <= limit_s and (
+                limit_s == QUICK_CRASH_S or run in worker.trial_runs
+            ):
+                left_s = run.acked_at + limit_s + QUICK_CRASH_MARGIN_S - now
+                wait_s = min(wait_s, left_s)
+                break
+    return wait_s
 
 
 def _needs_extra_poll(worker, now):
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -8,7 +8,7 @@
     worker_speeds,
     workers,
 )
-from .dispatch_crashes import GONE, note_crash, on_worker_gone
+from .dispatch_crashes import GONE, last_seen, note_crash, note_loss, on_worker_gone
 from .dispatch_effects import Stop
 from .dispatch_tasks import (
     discard_run,
@@ -20,7 +20,7 @@
 from .log import get_logger
 from .queue_index import mark_changed
 from .staged_jobs import COMPLETED, DONE, is_job_done
-from .workers import ACTIVE, ADOPTED, SENT, runs_on_trial
+from .workers import ACTIVE, ADOPTED, SENT
 
 __all__ = [
     "on_poll_result",
@@ -132,16 +132,17 @@
         lease_grants.end_former_leases(worker, now, longest_s)
     worker.failed_polls = 0
     worker.is_gone = False
-    before = worker.answered_at, runs_on_trial(worker)
+    seen = last_seen(worker)
     worker.answered_at = now
     if report.born != worker.info.born:
+        note_loss(state, now, worker, seen)
         reset_restarted_worker(state, now, worker, report.born)
     workers.update_clock(worker, now, report.clock_s)
     _handle_ends(state, now, worker, report.ended)
     _update_listed_runs(state, now, worker, report.running)
     # A list of that length may leave out later ends.
     if len(report.ended) < MAX_LISTED_ENDS:
-        _discard_unlisted_runs(state, now, worker, sent_at, report, *before)
+        _discard_unlisted_runs(state, now, worker, sent_at, report, seen)
     if not worker.unrecorded_ends:
         worker.last_end_recorded = worker.last_end_seen
     dispatch_starts.send_waiting_starts(state, now, worker)
@@ -224,16 +225,16 @@
         state.needs_plan = worker.changed = True
 
 
-def _discard_unlisted_runs(state, now, worker, sent_at, report, seen_at, on_trial):
+def _discard_unlisted_runs(state, now, worker, sent_at, report, seen):
     """Discard the runs that the report would have listed.
 
-    ``seen_at`` and ``on_trial`` are those before the report, as for ``note_crash``.
+    ``seen`` is the worker's LastSeen before the report, as for ``note_crash``.
     """
     present = {(name, attempt) for name, attempt, _, _ in report.running}
     for key, run in list(worker.runs.items()):
         if key not in present and _report_covers_run(run, sent_at, report.clock_s):
             if run.born != worker.info.born:
-                note_crash(state, now, worker, run, seen_at, on_trial)
+                note_crash(state, now, worker, run, seen)
             discard_run(state, now, run, "not listed by the worker")
 
 
--- a/cornelward/planning.py
+++ b/cornelward/planning.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import itertools
 import math
 from collections import deque
 from typing import NamedTuple
@@ -24,8 +25,9 @@
     "Candidate",
     "FreeCapacity",
     "Placement",
+    "emptiest_slots",
+    "fill_worker",
     "fit_gang",
-    "fit_on_one_worker",
     "fit_tasks",
     "fits_nowhere",
     "reserve_for_gang",
@@ -64,10 +66,11 @@
     ticket: str
 
 
-def iter_workers_with_cpu(capacity, service, cpu):
+def iter_workers_with_cpu(capacity, service, cpu, emptiest_first=False):
     """Yield workers with at least ``cpu`` free processors.
 
-    Workers that are not suspect come first; within both groups the fullest comes first.
+    Workers that are not suspect come first; within both groups the fullest comes first,
+    or the emptiest.
     """
     order = capacity.workers_by_free_cpu.get(service)
     if order is None:
@@ -76,10 +79,8 @@
     # found, even if they exceed the worker's capacity.
     least = cpu or -math.inf
     for suspect in (False, True):
-        first = order.bisect_left((suspect, least, ""))
-        for is_suspect, _, worker_id in order.islice(first):
-            if is_suspect != suspect:
-                break
+        bounds = (suspect, least, ""), (suspect, math.inf, "")
+        for _, _, worker_id in order.irange(*bounds, reverse=emptiest_first):
             capacity.examined += 1
             yield capacity.workers[worker_id]
 
@@ -165,11 +166,12 @@
     return counts
 
 
-def _eligible(capacity, candidate, service, step, demand):
+def _eligible(capacity, candidate, service, demand, emptiest_first):
     """Yield (worker, ticket) of the workers that the candidate may use."""
     allowed = candidate.allowed
     if allowed is None:
-        for worker in iter_workers_with_cpu(capacity, service, demand[0]):
+        cpu = demand[0]
+        for worker in iter_workers_with_cpu(capacity, service, cpu, emptiest_first):
             yield worker, ""
         return
     for worker_id, ticket in allowed.items():
@@ -179,14 +181,15 @@
             yield worker, ticket
 
 
-def iter_slots(capacity, candidate, service):
+def iter_slots(capacity, candidate, service, emptiest_first=False):
     """Yield (worker, number of tasks that fit, ticket) for a candidate's step."""
     job, key = candidate.job, candidate.key
     step = job.spec.steps[key[1]]
     demand = demand_of(step)
     tasks_by_worker = tasks_by_worker_of(job, key) if step.max_per_worker else {}
     passes = passes_reservations(capacity, job, step)
-    for worker, ticket in _eligible(capacity, candidate, service, step, demand):
+    eligible = _eligible(capacity, candidate, service, demand, emptiest_first)
+    for worker, ticket in eligible:
         if not _may_use(capacity, worker, step, passes):
             continue
         count = count_fitting_tasks(capacity, worker, demand, job.spec.id)
@@ -259,15 +262,19 @@
     return placed
 
 
-def fit_on_one_worker(capacity, candidate, service):
-    """Return Placements on the worker with the fewest runs that has room for one."""
+def emptiest_slots(capacity, candidate, service, max_workers):
+    """Return the first of ``iter_slots`` if the emptiest workers come first.
+
+    Where the step needs tickets, the workers come in the order of these.
+    """
+    slots = iter_slots(capacity, candidate, service, emptiest_first=True)
+    return list(itertools.islice(slots, max_workers))
+
+
+def fill_worker(capacity, candidate, slot):
+    """Return Placements of as many tasks as fit on the worker of a slot."""
+    worker, count, ticket = slot
     step = candidate.job.spec.steps[candidate.key[1]]
-    slots = slots_by_worker(capacity, candidate, service)
-    if not slots:
-        return []
-    worker, count, ticket = min(
-        slots, key=lambda slot: (len(slot[0].runs), slot[0].info.id)
-    )
     tasks = candidate.tasks[:count]
     for _ in tasks:
         _consume(capacity, worker, demand_of(step))
@@ -302,10 +309,15 @@
     )
 
 
-def fit_gang(capacity, candidate, service):
-    """Return Placements for all tasks of a gang, or None if they do not fit now."""
+def fit_gang(capacity, candidate, service, may_use=None):
+    """Return Placements for all tasks of a gang, or None if they do not fit now.
+
+    With ``may_use`` only workers are used for which it returns true.
+    """
     step = candidate.job.spec.steps[candidate.key[1]]
     slots = slots_by_worker(capacity, candidate, service)
+    if may_use is not None:
+        slots = [slot for slot in slots if may_use(slot[0])]
     groups = [slots]
     if step.one_rack:
         racks = {}
--- a/cornelward/workers.py
+++ b/cornelward/workers.py
@@ -21,16 +21,19 @@
     "RECORDING",
     "SENT",
     "STOPPING",
+    "TRIAL_S",
     "VOID",
     "Run",
     "Worker",
     "WorkerInfo",
     "demand_of",
     "free_capacity",
+    "has_recent_start",
     "is_in_trial",
     "is_overcommitted",
     "is_usable",
     "new_worker",
+    "outlasted_trial",
     "runs_on_trial",
     "unusable_reason",
     "update_clock",
@@ -336,8 +339,23 @@
 
 
 def _is_on_trial(worker, run):
-    if worker.runs.get((run.name, run.attempt)) is not run:
-        return False
+    is_there = worker.runs.get((run.name, run.attempt)) is run
+    return is_there and not outlasted_trial(worker, run)
+
+
+def outlasted_trial(worker, run):
+    """Return whether the run was seen on its worker for longer than a trial."""
     if run.acked_at is None or worker.answered_at is None:
-        return True
-    return worker.answered_at < run.acked_at + TRIAL_S
+        return False
+    return worker.answered_at >= run.acked_at + TRIAL_S
+
+
+def has_recent_start(worker):
+    """Return whether a run on the worker may yet turn out to crash it quickly."""
+    answered_at = worker.answered_at
+    return any(
+        run.acked_at is None
+        or answered_at is None
+        or answered_at < run.acked_at + QUICK_CRASH_S
+        for run in worker.runs.values()
+    )
