Count a failed run of a gang once, however many of its members failed

Cause: each member's failed end was counted and the members' counts were added up, by a successor, too, that read the end of another member of a run which its predecessor had counted.

Change: the first failed end of a run counts. The run's number is kept with the job and in its record, as an entry of `lives` that earlier releases ignore (they take a longer record for an invalid one).

The simulated cell drew one failed member a run, the first, and its check of LOST added members up.

--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -356,7 +356,10 @@
         name, estimate_s = job.spec.queue.name, run.step.estimate_s
         objectives.observe_run(state.run_times, name, run_s, estimate_s)
     # If one member of a gang succeeds, the whole gang has succeeded.
-    tasks = job.tasks[task.key[:2]] if run.step.gang else [task]
+    tasks = [task]
+    if run.step.gang:
+        tasks = job.tasks[task.key[:2]]
+        job.failed_gang_runs.pop(task.key[:2], None)
     for member in tasks:
         member.state = DONE
         member.run = None
@@ -367,13 +370,18 @@
 
 
 def _task_failed(state, now, run):
-    job, task = run.job, run.task
+    job, task, key = run.job, run.task, run.task.key[:2]
+    if run.step.gang:
+        if job.failed_gang_runs.get(key) == run.attempt:
+            # Another member has failed in the same run, which counts once.
+            return
+        job.failed_gang_runs[key] = run.attempt
     task.failures += 1
     if run.step.long_running:
         return
     failures = task.failures
     if run.step.gang:
-        failures = sum(t.failures for t in job.tasks[task.key[:2]])
+        failures = sum(t.failures for t in job.tasks[key])
     queue = state.queues.get(job.spec.queue.name, job.spec.queue)
     if failures >= queue.max_attempts:
         fail_job(state, now, job, task, "attempts used up")
--- a/cornelward/job_records.py
+++ b/cornelward/job_records.py
@@ -79,6 +79,8 @@
             if t.crashes:
                 row = (*row, t.crashes, t.confirmed_crashes, t.ran_s)
             rows.append(row)
+    for (occurrence, step), attempt in job.failed_gang_runs.items():
+        lives[f"{FAILED_RUN} {occurrence}.{step}"] = ("", attempt)
     record = (job.outcome or "", job.started, rows, lives)
     data = msgspec.msgpack.encode(record)
     return zlib.compress(data, 1) if len(data) >= COMPRESSED_BYTES else data
@@ -90,6 +92,11 @@
 ZLIB_MARK = b"\x78"
 
 
+# Beginning of the keys of ``Record.lives`` that are no ids of workers. Earlier releases
+# read no record with further fields, but ignore such keys.
+FAILED_RUN = "failed-run"
+
+
 class TaskRecord(NamedTuple):
     """A task in a record; ``worker`` is empty if it has no run."""
 
@@ -109,7 +116,8 @@
 class Record(NamedTuple):
     """A job's record; ``lives`` maps the workers of runs to (address, born).
 
-    Records of earlier releases have no ``lives``.
+    It also maps ``failed-run OCCURRENCE.STEP`` of a gang to ("", attempt of its latest
+    run that has failed). Records of earlier releases have no ``lives`` or no such keys.
     """
 
     outcome: str
@@ -158,6 +166,7 @@
     job.outcome = record.outcome or None
     job.recorded_state = record.outcome or (RUNNING if job.started else QUEUED)
     job.record_version = version
+    job.failed_gang_runs = _failed_gang_runs(record)
     placed = []
     for row in record.tasks:
         open_occurrence(job, row.occurrence)
@@ -171,3 +180,13 @@
         if row.state == PLACED or row.worker:
             placed.append((task, row.worker))
     return placed
+
+
+def _failed_gang_runs(record):
+    found = {}
+    for name, (_, attempt) in (record.lives or {}).items():
+        prefix, _, key = name.partition(" ")
+        occurrence, _, step = key.partition(".")
+        if prefix == FAILED_RUN and occurrence.isdecimal() and step.isdecimal():
+            found[int(occurrence), int(step)] = attempt
+    return found
--- a/cornelward/staged_jobs.py
+++ b/cornelward/staged_jobs.py
@@ -211,6 +211,7 @@
         self.key = key
         self.state = WAITING
         self.attempt = 0
+        # Failed runs. One of a gang counts for the member whose failed end came first.
         self.failures = 0
         # Workers that crashed under the task, those of them that had confirmed its
         # start, and the longest time that it ran on any.
@@ -238,6 +239,7 @@
         "deadline",
         "dirty",
         "entry",
+        "failed_gang_runs",
         "has_crashes",
         "outcome",
         "ready_steps",
@@ -278,6 +280,8 @@
         # (occurrence, step) -> number and sum of what its runs showed of its length;
         # see ``worker_speeds``.
         self.step_lengths = {}
+        # (occurrence, step) of a gang -> attempt of its latest run that has failed.
+        self.failed_gang_runs = {}
         # Whether a worker has crashed under one of its tasks, and the workers that the
         # tasks were placed on since.
         self.has_crashes = False
--- a/tests/fixtures_crashes.py
+++ b/tests/fixtures_crashes.py
@@ -30,7 +30,6 @@
         super().__init__()
         self.sim = sim
         self.broken_runs = 0
-        self.failed_runs = Counter()
         # When the latest run of a task started, and crashes soon after a start.
         self.started_at = {}
         self.quick_by_task = Counter()
@@ -69,13 +68,7 @@
         """Check that a task of the job had two crashes or used up its attempts."""
         spec = self.sim.specs[job_id]
         crashes = [n for t, n in self.by_task.items() if t.startswith(job_id)]
-        failures = Counter()
-        for name, count in self.failed_runs.items():
-            if name.startswith(job_id):
-                step_name, _, _ = name.rpartition(".")
-                gang = spec.steps[int(step_name.rpartition(".")[2])].gang
-                failures[step_name if gang else name] += count
-        most_failures = max(failures.values(), default=0)
+        most_failures = self.sim.attempts.most_failed_runs(job_id)
         if max(crashes, default=0) < CRASHES_TO_FAIL and (
             most_failures < spec.queue.max_attempts
         ):
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -3,8 +3,8 @@
 All components share one virtual clock; delays and faults come from a seeded random
 source. The simulation checks these invariants: no overcommitted worker, one run of a
 task at a time, steps in order, no workspace above its cap, and those of
-``fixtures_crashes`` and ``fixtures_waits``. A gang succeeds only if all its members run
-together.
+``fixtures_attempts``, ``fixtures_crashes`` and ``fixtures_waits``. A gang succeeds only
+if all its members run together.
 """
 
 import heapq
@@ -12,6 +12,7 @@
 import math
 import random
 
+from fixtures_attempts import Attempts
 from fixtures_crashes import REGISTRY_DELAY_S, Crashes
 from fixtures_waits import WaitCheck
 from fixtures_workers import (
@@ -45,6 +46,8 @@
 RENEW_INTERVAL_S = 0.4
 ASK_INTERVAL_S = 0.3
 GANG_WINDOW_S = 3.0
+# Times between the ends of the members of a gang's run that fails.
+GANG_END_DELAYS_S = (0.0, 0.0, 0.02, 0.1)
 LATE_DELAY_S = (2.0, 12.0)
 CAP_OVERAGE = 0.1
 # A leader that was paused for longer holds its start requests back until it has renewed
@@ -70,12 +73,15 @@
         self.failing = set()
         self.failing_jobs = set()
         self.failed_runs = 0
+        # (step name, attempt) of the runs of gangs of which all members were present.
+        self.begun_gangs = set()
         # Names of tasks under which each worker crashes, after ``crash_after_s`` or, if
         # that is None, soon after the start; it is back under a new id if ``new_ids``.
         self.deadly = set()
         self.crash_after_s = None
         self.new_ids = True
         self.crashes = Crashes(self)
+        self.attempts = Attempts(self)
         # Ids of the workers that the registry lists.
         self.listed = set()
         self.leaders = []
@@ -225,6 +231,7 @@
             if names - self.done:
                 self.violations.append(f"{name} started before step {before} ended")
         self._check_cap(job_id, run.step)
+        self.attempts.on_run_started(key)
         self.crashes.on_run_started(worker, key)
         fails = self.rng.random() < self.fail_share or worker.info.id in self.failing
         fails = fails or job_id in self.failing_jobs
@@ -272,31 +279,67 @@
         ]
 
     def _start_gang(self, name, attempt, run, how):
+        """Let the gang's run begin with its last member; a lone one ends after a while.
+
+        If the run fails, some of its members end as failed, at about the same time, and
+        the others as broken.
+        """
+        step_name, count = name.rpartition(".")[0], run.step.count
         members = self._members(name, attempt)
-        if len(members) < run.step.count:
+        if len(members) < count:
+            self.after(GANG_WINDOW_S, lambda: self._end_lone_members(name, attempt))
             return
+        self.begun_gangs.add((step_name, attempt))
+        factor = max(self.slow_workers.get(w.info.id, 1.0) for w, _ in members)
+        hows = self.draw_gang_ends(step_name, attempt, count)
+        delays = self.gang_end_delays(step_name, attempt, count)
 
         def end():
             now = self._members(name, attempt)
-            is_complete = len(now) == run.step.count
-            for i, (worker, key) in enumerate(now):
-                if is_complete and how == "done":
+            if len(now) < count:
+                for worker, key in now:
+                    worker.end(key, "broken")
+                return
+            if how == "done":
+                for worker, key in now:
                     worker.end(key, "done")
-                else:
-                    worker.end(key, "failed" if is_complete and i == 0 else "broken")
+                return
+            for (worker, key), one, delay_s in zip(now, hows, delays, strict=True):
+                self.after(delay_s, lambda w=worker, k=key, h=one: w.end(k, h))
 
-        factor = max(self.slow_workers.get(w.info.id, 1.0) for w, _ in members)
         self.after(run.step.estimate_s * factor, end)
 
+    def draw_gang_ends(self, step_name, attempt, count):
+        """Return how the members of a failing run end; at least one has failed."""
+        source = random.Random(f"{step_name}.{attempt}")
+        failed = source.randint(1, count)
+        hows = ["failed"] * failed + ["broken"] * (count - failed)
+        source.shuffle(hows)
+        return hows
+
+    def gang_end_delays(self, step_name, attempt, count):
+        """Return how much later than the first one each member of the run ends."""
+        source = random.Random(f"{step_name} {attempt}")
+        return source.choices(GANG_END_DELAYS_S, k=count)
+
+    def _end_lone_members(self, name, attempt):
+        """End the members of a run that has not begun, as others are missing."""
+        if (name.rpartition(".")[0], attempt) not in self.begun_gangs:
+            for worker, key in self._members(name, attempt):
+                worker.end(key, "alone")
+
     def on_run_ended(self, worker, key, how):
         if how == "done":
             self.done.add(key[0])
-        self.failed_runs += how == "failed"
-        self.crashes.failed_runs[key[0]] += how == "failed"
+        if how == "failed":
+            self.failed_runs += 1
+            self.attempts.on_run_failed(key)
 
     def on_end_acknowledged(self, entry):
         """Check that a successor could read an acknowledged success in the store."""
         name, how = entry[1], entry[3]
+        if how == "failed":
+            self.attempts.on_failure_noted((name, entry[2]))
         if how != "done":
             return
         self.acknowledged.add(name)
