Place all members of a gang on a worker on probation as one probe

What callers would see: LOST, a gang that never starts again. All members of its run fail on one worker; that is then on probation for the job, and took one member at a time. Where the gang fits on no other worker, it waits for good, with its worker idle.

Cause: a probe was one task, and a gang can't be started by one task. The same held for workers on probation for failures of several jobs, and for reservations.

Change: the members of a gang that fit on a worker count as one probe; reservations count the room as it is.

--- a/cornelward/asked_workers.py
+++ b/cornelward/asked_workers.py
@@ -30,14 +30,13 @@
     room for.
     """
     step = candidate.job.spec.steps[candidate.key[1]]
-    demand = demand_of(step)
     placed = {}
     if step.max_per_worker:
         placed = tasks_by_worker_of(candidate.job, candidate.key)
     with_room, others = [], []
     for worker_id in ids:
         worker = capacity.workers.get(worker_id)
-        count = count_fitting_tasks(capacity, worker, demand) if worker else 0
+        count = count_fitting_tasks(capacity, worker, step) if worker else 0
         if step.label and worker and step.label not in worker.info.labels:
             count = 0
         if step.max_per_worker:
--- a/cornelward/gang_reservations.py
+++ b/cornelward/gang_reservations.py
@@ -1,7 +1,6 @@
 """Core: reserves workers for waiting gangs, and for how long that holds others back."""
 
 from .capacity_index import is_half_free
-from .worker_health import is_on_probation
 from .workers import demand_of
 
 __all__ = ["passes_reservations", "reserve_for_gang", "slots_without_batch"]
@@ -79,6 +78,4 @@
         if need
     ]
     count = min(counts, default=1)
-    if is_on_probation(worker):
-        count = min(count, 1)
     return min(count, step.max_per_worker) if step.max_per_worker else count
--- a/cornelward/planning.py
+++ b/cornelward/planning.py
@@ -104,9 +104,8 @@
     ):
         return True
     for worker in iter_workers_with_cpu(capacity, service, demand[0]):
-        if _may_use(capacity, worker, step, passes) and count_fitting_tasks(
-            capacity, worker, demand
-        ):
+        may_use = _may_use(capacity, worker, step, passes)
+        if may_use and count_fitting_tasks(capacity, worker, step):
             return False
     capacity.unplaceable_demands.setdefault((service, step.label, passes), []).append(
         demand
@@ -130,9 +129,9 @@
         return "other label"
     if not _may_use(capacity, worker, step, passes_reservations(capacity, job, step)):
         return "reserved"
-    if not count_fitting_tasks(capacity, worker, demand_of(step)):
+    if not count_fitting_tasks(capacity, worker, step):
         return "on probation" if is_on_probation(worker) else "full"
-    if not count_fitting_tasks(capacity, worker, demand_of(step), job.spec.id):
+    if not count_fitting_tasks(capacity, worker, step, job.spec.id):
         return "on probation for its job"
     if step.max_per_worker:
         placed = tasks_by_worker_of(job, key).get(worker_id, 0)
@@ -140,21 +139,23 @@
     return None
 
 
-def count_fitting_tasks(capacity, worker, demand, job_id=None):
-    """Return how many tasks of ``demand`` may be placed on the worker now.
+def count_fitting_tasks(capacity, worker, step, job_id=None):
+    """Return how many tasks of ``step`` may be placed on the worker now.
 
-    A worker on probation gets one task at a time until one has succeeded. Otherwise a
-    faulty worker would be filled, and fail all its tasks at once, each time its
-    avoidance period ends. With ``job_id`` that holds for the only job that fails there.
+    A worker on probation gets one task at a time until one has succeeded, or the
+    members of one gang, which run together or not at all. Otherwise a faulty worker
+    would be filled, and fail all its tasks at once, each time its avoidance period
+    ends. With ``job_id`` that holds for the only job that fails there.
     """
-    free = capacity.free[worker.info.id]
+    free, demand = capacity.free[worker.info.id], demand_of(step)
     counts = [have // need for have, need in zip(free, demand, strict=True) if need > 0]
     count = max(0, min(counts)) if counts else 1_000
+    probes = count if step.gang else min(1, count)
     if is_on_probation(worker):
-        return 0 if has_probe(worker) else min(1, count)
+        return 0 if has_probe(worker) else probes
     if job_id is not None and is_failing_for(worker, job_id):
         waits = is_avoided_for(worker, job_id, capacity.now)
-        return 0 if waits or has_probe(worker, job_id) else min(1, count)
+        return 0 if waits or has_probe(worker, job_id) else probes
     return count
 
 
@@ -192,7 +193,7 @@
     for worker, ticket in eligible:
         if not _may_use(capacity, worker, step, passes):
             continue
-        count = count_fitting_tasks(capacity, worker, demand, job.spec.id)
+        count = count_fitting_tasks(capacity, worker, step, job.spec.id)
         if step.max_per_worker:
             count = min(
                 count, step.max_per_worker - tasks_by_worker.get(worker.info.id, 0)
@@ -254,7 +255,7 @@
         task = tasks.pop() if worker.failures else tasks.popleft()
         placed.append(Placement(task, worker, ticket))
         _consume(capacity, worker, demand)
-        if count <= 1 or count_fitting_tasks(capacity, worker, demand) < 1:
+        if count <= 1 or count_fitting_tasks(capacity, worker, step) < 1:
             heapq.heappop(heap)
         else:
             preference = _preference(capacity, candidate, worker)
--- a/tests/test_gang_failures.py
+++ b/tests/test_gang_failures.py
@@ -65,7 +65,7 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-@pytest.mark.parametrize("workers", [2, 4])
+@pytest.mark.parametrize("workers", [1, 2, 4])
 @pytest.mark.parametrize(
     "delays", [(0.0, 0.02, 0.04, 0.06), (0.1, 0.0, 0.1, 0.0)], ids=str
 )
@@ -131,3 +131,32 @@
     restored = new_job(job.spec, 1, 0.0)
     restore_record(restored, record, 1)
     assert_that(restored.failed_gang_runs, Equals({(0, 0): 3}))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("others", [0, 2])
+def test_gang_whose_members_fail_on_one_worker_is_placed_there_again(seed, others):
+    # Guards against a gang that never starts again: its failures put its worker on
+    # probation, which took one member at a time, and it fits on no other.
+    sim = start_gang(seed, ["failed"] * MEMBERS, workers=1)
+    for i in range(others):
+        sim.add_worker(make_worker(f"small-{i}", cpu=500))
+    sim.run(40.0)
+    assert_failed_after_all_attempts(sim)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_gang_starts_on_workers_on_probation_for_several_jobs(seed):
+    # All members fit only on workers on which runs of several jobs have failed.
+    sim = start_gang(seed, ["failed"] * MEMBERS, workers=2)
+    sim.failing_jobs = set()
+    sim.cancel(JOB)
+    sim.failing = {"w0"}
+    for i in range(6):
+        sim.submit(f"{i:016x}", steps_of(1, estimate_s=0.3, cpu=4_000), QUEUE)
+    sim.run(4.0)
+    sim.failing = set()
+    sim.submit("b" * 16, steps_of(MEMBERS, cpu=4_000, gang=True), QUEUE)
+    sim.run(20.0)
+    assert_that(dispatch.state_of(sim.leader.core, "b" * 16), Equals("completed"))
+    assert_that(sim.violations, Equals([]))
