Compare a crash with other losses once a worker, not once a run

Found by reading again. For each run of a crashed worker all other workers were compared, and the runs of the silent ones examined: with half of 820 workers lost that grows with the square of the fleet. A restart that the registry announced before a poll was not kept as a loss. The capacity of workers in trial was built from an exhausted iterator, so that suspects joined only trials that begin in the same pass.

Change: a crash and the losses that coincide with it are described once; a loss is kept whichever message tells of it first. The end of a trial calls for a planning pass.

--- a/cornelward/crash_trials.py
+++ b/cornelward/crash_trials.py
@@ -2,9 +2,9 @@
 
 Such a task is a suspect. Suspects are on trial for a while after their start; nothing
 else is started on their worker meanwhile, so that a further crash breaks few runs and
-shows which tasks may be the cause. Tasks with one crash share workers, as one crash
-makes many suspects. After a second one, a job is alone on the worker of its trial: the
-next crash shows that it is the cause.
+shows which tasks may be the cause. They share workers, as one crash makes many
+suspects. After a second confirmed crash of a task, its job is alone on the worker of
+its trial: the next crash shows that it is the cause.
 """
 
 from . import planning
@@ -17,7 +17,6 @@
     is_in_trial,
     outlasted_trial,
     runs_on_trial,
-    unusable_reason,
 )
 
 __all__ = [
@@ -39,9 +38,9 @@
 class TrialPass:
     """The workers in trial, as one planning pass sees and changes them.
 
-    ``shared`` is the FreeCapacity of those that further suspects may join; ``count`` is
-    the number of reachable workers in trial, ``limit`` the largest one. They are None
-    until a suspect has to be placed.
+    ``shared`` is the FreeCapacity of those whose trial begins in this pass and that
+    further suspects may join; ``count`` is the number of reachable workers in trial,
+    ``limit`` the largest one. They are None until a suspect has to be placed.
     """
 
     __slots__ = ("count", "limit", "shared", "workers")
@@ -105,19 +104,15 @@
 
 
 def _prepare(trials, capacity):
-    """Count the workers in trial once a pass, and find those that may be joined."""
+    """Count the workers in trial, once a pass."""
     if trials.shared is not None:
         return
-    in_trial = [w for w in trials.workers.values() if is_in_trial(w)]
-    reachable = [w for w in in_trial if not w.failed_polls]
-    trials.count = len(reachable)
-    trials.limit = max(1, MAX_TRIAL_SHARE * (len(capacity.workers) + trials.count))
-    trials.shared = FreeCapacity(
-        worker
-        for worker in reachable
-        if unusable_reason(worker, capacity.now) == "in trial"
-        and not any(_is_isolated(run.task) for run in runs_on_trial(worker))
+    trials.count = sum(
+        is_in_trial(worker) and not worker.failed_polls
+        for worker in trials.workers.values()
     )
+    trials.limit = max(1, MAX_TRIAL_SHARE * (len(capacity.workers) + trials.count))
+    trials.shared = FreeCapacity(())
     trials.shared.now = capacity.now
     trials.shared.reserved_workers = capacity.reserved_workers
 
@@ -125,7 +120,7 @@
 def fit_suspects(trials, capacity, candidate, service):
     """Return Placements for suspects of a step, on workers whose trial may begin now.
 
-    Beside other suspects they may also be placed where a trial has begun.
+    They may also be placed beside other suspects, where a trial begins in this pass.
     """
     _prepare(trials, capacity)
     job, key, tasks = candidate[:3]
@@ -143,7 +138,7 @@
 
 
 def _fit(trials, capacity, candidate, service, is_alone, fit):
-    """Return the Placements of ``fit`` on workers that begin a trial or share theirs.
+    """Return the Placements of ``fit`` on workers that begin a trial in this pass.
 
     An isolated suspect leaves room for a trial of others.
     """
--- a/cornelward/dispatch_crashes.py
+++ b/cornelward/dispatch_crashes.py
@@ -1,9 +1,9 @@
 """Core: workers that crashed, and the tasks under which they did.
 
 A task may crash each worker that starts it. Which of the runs on a crashed worker is
-the cause is not known, so all of their tasks are suspects. A suspect is placed on a
-worker where nothing else starts for a while (see ``crash_trials``): if that crashes,
-too, the suspect's job is the cause.
+the cause is not known. The tasks of those that had just started are suspects, which are
+placed on workers where only suspects start for a while (see ``crash_trials``). If a
+worker crashes on which only one job is on trial, that job is the cause.
 """
 
 from typing import NamedTuple
@@ -17,11 +17,17 @@
     runs_on_trial,
 )
 
-__all__ = ["GONE", "last_seen", "note_crash", "note_loss", "on_worker_gone"]
+__all__ = [
+    "GONE",
+    "describe_crash",
+    "last_seen",
+    "note_crash",
+    "note_loss",
+    "on_worker_gone",
+]
 
 log = get_logger("dispatch_crashes")
 
-
 # Result of a request to a worker whose address another life of the machine has.
 GONE = "gone"
 
@@ -68,6 +74,14 @@
     noted_at: float
 
 
+class Crash(NamedTuple):
+    """A crash of a worker, and the losses of others at about the same time."""
+
+    worker: object
+    seen: LastSeen
+    coinciding: list
+
+
 def last_seen(worker):
     """Return the LastSeen of a worker, before its runs and last answer are updated."""
     at = worker.answered_at
@@ -92,6 +106,7 @@
     seen = last_seen(worker)
     if has_crashed:
         note_loss(state, now, worker, seen)
+        crash = describe_crash(state, worker, seen)
     for run in list(worker.runs.values()):
         if run.state == RECORDING:
             request_stop(state, now, run)
@@ -99,7 +114,7 @@
             # It was not on the worker, or the result of its start tells whether it was.
             continue
         if has_crashed:
-            note_crash(state, now, worker, run, seen)
+            note_crash(state, now, crash, run)
         discard_run(state, now, run, "its worker is gone")
     state.needs_plan = True
 
@@ -124,19 +139,43 @@
     return Loss(seen.at, worker.info.rack, is_explained, is_in_trial, now)
 
 
-def note_crash(state, now, worker, run, seen):
-    """Count a crash of ``worker`` under ``run``; the job may fail by it.
+def describe_crash(state, worker, seen):
+    """Return the Crash of a worker, which was last seen as in ``seen``."""
+    coinciding = []
+    if seen.at is not None:
+        coinciding = [
+            loss
+            for (worker_id, _), loss in _known_losses(state).items()
+            if worker_id != worker.info.id
+            and abs(loss.seen_at - seen.at) <= COINCIDENCE_S
+        ]
+    return Crash(worker, seen, coinciding)
+
+
+def _known_losses(state):
+    """Return the recent losses, and the workers that may have been lost."""
+    losses = dict(state.losses)
+    for worker in state.workers.values():
+        at = worker.answered_at
+        if worker.failed_polls and at is not None:
+            losses.setdefault(
+                (worker.info.id, at), _loss(worker, last_seen(worker), at)
+            )
+    return losses
 
-    ``seen`` is the worker's LastSeen. The count is recorded with the job before any
-    later start of the task.
+
+def note_crash(state, now, crash, run):
+    """Count a crash of a worker under ``run``; the job may fail by it.
+
+    The count is recorded with the job before any later start of the task.
     """
-    job, task = run.job, run.task
+    job, task, seen = run.job, run.task, crash.seen
     if task.run is not run or job.outcome is not None:
         return
     ran_s = _observed_run_s(run, seen.at)
     if run.step.long_running and ran_s >= SURVIVED_S:
         return
-    is_common = _has_common_cause(state, worker, seen.at, ran_s)
+    is_common = _has_common_cause(crash, ran_s)
     if ran_s >= SETTLED_S and (is_common or seen.on_trial):
         return
     task.crashes += 1
@@ -149,14 +188,15 @@
         and all(other.job is job for other in (*seen.on_trial, *seen.recent))
         and run.acked_at is not None
         and task.ran_s <= QUICK_CRASH_S
-        and not _has_common_cause(state, worker, seen.at, ran_s, in_rack=True)
+        and not is_common
+        and not _is_rack_lost(crash)
     )
     log(
         "warning",
         "worker_crashed_under_task",
         task=run.name,
         run=run.attempt,
-        worker=worker.info.id,
+        worker=crash.worker.info.id,
         crashes=task.crashes,
         confirmed=task.confirmed_crashes,
         ran_s=round(ran_s, 2),
@@ -176,30 +216,21 @@
     return max(0.0, seen_at - run.acked_at)
 
 
-def _has_common_cause(state, worker, seen_at, ran_s, in_rack=False):
+def _has_common_cause(crash, ran_s):
     """Return whether a crash may have a common cause with the loss of another worker.
 
-    That was at about the same time. For a run that had started soon before, a loss that
-    may be due to another run like that does not count, unless ``in_rack`` is true and
-    both workers are of one rack.
+    For a run that had started soon before, a loss that may be due to another run like
+    that does not count.
     """
-    if seen_at is None:
-        return False
-    losses = dict(state.losses)
-    for other in state.workers.values():
-        key = other.info.id, other.answered_at
-        if other.failed_polls and other.answered_at is not None and key not in losses:
-            losses[key] = _loss(other, last_seen(other), other.answered_at)
-    return any(
-        worker_id != worker.info.id
-        and abs(loss.seen_at - seen_at) <= COINCIDENCE_S
-        and (
-            ran_s > QUICK_CRASH_S
-            or not loss.is_explained
-            or (in_rack and loss.rack == worker.info.rack and not loss.is_in_trial)
-        )
-        for (worker_id, _), loss in losses.items()
-    )
+    if ran_s > QUICK_CRASH_S:
+        return bool(crash.coinciding)
+    return any(not loss.is_explained for loss in crash.coinciding)
+
+
+def _is_rack_lost(crash):
+    """Return whether a worker of the same rack that was not in trial was lost, too."""
+    rack = crash.worker.info.rack
+    return any(loss.rack == rack and not loss.is_in_trial for loss in crash.coinciding)
 
 
 def _is_to_blame(task, is_conclusive):
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -8,7 +8,14 @@
     worker_speeds,
     workers,
 )
-from .dispatch_crashes import GONE, last_seen, note_crash, note_loss, on_worker_gone
+from .dispatch_crashes import (
+    GONE,
+    describe_crash,
+    last_seen,
+    note_crash,
+    note_loss,
+    on_worker_gone,
+)
 from .dispatch_effects import Stop
 from .dispatch_tasks import (
     discard_run,
@@ -20,7 +27,7 @@
 from .log import get_logger
 from .queue_index import mark_changed
 from .staged_jobs import COMPLETED, DONE, is_job_done
-from .workers import ACTIVE, ADOPTED, SENT
+from .workers import ACTIVE, ADOPTED, SENT, is_in_trial
 
 __all__ = [
     "on_poll_result",
@@ -130,13 +137,8 @@
     if worker.answered_at is None:
         longest_s = state.cfg["longest_lease_s"]
         lease_grants.end_former_leases(worker, now, longest_s)
-    worker.failed_polls = 0
-    worker.is_gone = False
     seen = last_seen(worker)
-    worker.answered_at = now
-    if report.born != worker.info.born:
-        note_loss(state, now, worker, seen)
-        reset_restarted_worker(state, now, worker, report.born)
+    _note_answer(state, now, worker, seen, report)
     workers.update_clock(worker, now, report.clock_s)
     _handle_ends(state, now, worker, report.ended)
     _update_listed_runs(state, now, worker, report.running)
@@ -148,6 +150,19 @@
     dispatch_starts.send_waiting_starts(state, now, worker)
 
 
+def _note_answer(state, now, worker, seen, report):
+    """Note that a worker has answered, and whether it has restarted since ``seen``."""
+    worker.failed_polls = 0
+    worker.is_gone = False
+    worker.answered_at = now
+    if report.born != worker.info.born:
+        reset_restarted_worker(state, now, worker, report.born)
+    if seen.at is not None and worker.restart_seen_at > seen.at:
+        note_loss(state, now, worker, seen)
+    if seen.on_trial and not is_in_trial(worker):
+        state.needs_plan = True
+
+
 def _note_poll_ended(worker):
     if worker.extra_polls:
         # Which of the two ended makes no difference.
@@ -231,11 +246,17 @@
     ``seen`` is the worker's LastSeen before the report, as for ``note_crash``.
     """
     present = {(name, attempt) for name, attempt, _, _ in report.running}
-    for key, run in list(worker.runs.items()):
-        if key not in present and _report_covers_run(run, sent_at, report.clock_s):
-            if run.born != worker.info.born:
-                note_crash(state, now, worker, run, seen)
-            discard_run(state, now, run, "not listed by the worker")
+    gone = [
+        run
+        for key, run in worker.runs.items()
+        if key not in present and _report_covers_run(run, sent_at, report.clock_s)
+    ]
+    crash = None
+    for run in gone:
+        if run.born != worker.info.born:
+            crash = crash or describe_crash(state, worker, seen)
+            note_crash(state, now, crash, run)
+        discard_run(state, now, run, "not listed by the worker")
 
 
 def _report_covers_run(run, sent_at, clock_s):
--- a/tests/test_crash_trials.py
+++ b/tests/test_crash_trials.py
@@ -216,6 +216,21 @@
     assert_that(sim.violations, Equals([]))
 
 
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("loss", ["rack", "half"])
+def test_deadly_tasks_keep_the_budget_across_a_change_of_leader(seed, loss):
+    # The successor learns of crashes whose workers it never saw.
+    sim = start_cell(seed)
+    sim.wait_check = None
+    submit_jobs(sim, SHAPES["small jobs"])
+    lose_with_deadly_tasks(sim, loss, 0.3)
+    sim.leader.dead = True
+    sim.run(1.0)
+    sim.start_leader()
+    sim.run(60.0)
+    assert_that(sim.violations, Equals([]))
+
+
 def test_crash_of_a_shared_trial_blames_none_of_the_jobs():
     sim = start_cell(0, racks=1, rack_size=1)
     for job_id in ("a" * 16, "b" * 16):
