Soak: gangs whose members fail together, and runs that end as a whole

Change: the members of a run work once all are present and end together, as done or, in gangs that fail, some as failed and the others as broken, at once or up to 0.2 s apart; they end alone after 3 s, and as broken if a member has ended otherwise. The soak submits such gangs, drawn apart from the faults and jobs of a seed, and checks that they are shown as failed after exactly their attempts (LOST, BUDGET), unless workers crashed twice under a member.

--- a/standins/cell.py
+++ b/standins/cell.py
@@ -22,6 +22,7 @@
 
 from .cell_worker import LOOPBACK_ADDRESS, StandinWorker
 from .crash_rules import CrashCounts, allowed_cpu
+from .gang_runs import GangRuns
 
 __all__ = [
     "QUOTA_OVERAGE",
@@ -244,6 +245,8 @@
         self.caps = {}
         self.peak_use = 0
         self.rng = random.Random(seed)
+        self.max_attempts = ROUTE["max_attempts"]
+        self.gangs = GangRuns(self, seed)
         self.store = StandinStore(loop, seed)
         self.advice = StandinPolicyService(self)
         self.workers = {
@@ -264,6 +267,8 @@
         self._check_cap(key[0])
         if self.deadly(key[0]) and self.crashes.count_start(key[0]):
             self.violations.append(f"BUDGET: {key[0]} on {worker.id}")
+        if self.gangs.is_gang(key) and self.gangs.on_start(key):
+            self.violations.append(f"BUDGET: gang of {key[0]}, run {key[1]}")
 
     def _check_cap(self, name):
         """Check that a start keeps its workspace within the cap and one task more.
@@ -312,6 +317,8 @@
         """Note the end of a run; ``end`` is the worker's life and the end's number."""
         if outcome == "done":
             self.finished[key[0]] = (worker, end)
+        if self.gangs.is_gang(key):
+            self.gangs.on_end(key, outcome)
 
     def _is_void(self, worker, end):
         """Return whether the end of a run is void, so that the task may run again.
--- a/standins/cell_worker.py
+++ b/standins/cell_worker.py
@@ -79,6 +79,9 @@
             return
         self.check_lease()
         self.cell.crashes.add_crash(name for name, _ in self.running)
+        for key in self.running:
+            if self.cell.gangs.is_gang(key):
+                self.cell.gangs.on_end(key, "crashed")
         self.void_ends.update((self.life, end[0]) for end in self.unacknowledged_ends)
         self.life += 1
         self.down = True
@@ -181,6 +184,8 @@
         """Schedule the end of a run, or the crash if its task is deadly."""
         cell, life = self.cell, self.life
         is_deadly = cell.deadly(key[0])
+        if cell.gangs.is_gang(key) and not (is_deadly or self.fails):
+            return
 
         def end():
             if self.life != life or key not in self.running:
@@ -213,9 +218,9 @@
         self.waiting_polls = []
 
     def poll_runs(self, call, body):
-        self.unacknowledged_ends = [
-            e for e in self.unacknowledged_ends if e[0] > body["last_seen"]
-        ]
+        taken = [e for e in self.unacknowledged_ends if e[0] <= body["last_seen"]]
+        self.cell.gangs.on_acknowledged(taken)
+        del self.unacknowledged_ends[: len(taken)]
         wait_s = body.get("wait_ms", 0) / 1000
         if self.unacknowledged_ends or not wait_s:
             self._answer_poll(call)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -118,3 +118,51 @@
     )
     soak_keys.check_status(soak, key, 401)
     assert_that(soak.failures, HasLength(failures))
+
+
+def start_gang_members(cell, attempt, count):
+    """Start ``count`` members of a gang of four on two workers."""
+    workers = list(cell.workers.values())
+    for index in range(count):
+        worker = workers[index % 2]
+        worker.deadline_ms = worker.clock_ms + 60_000
+        key = (f"{'a' * 16}.0.0.{index}", attempt)
+        worker.running[key] = {}
+        cell.on_run_started(worker, key)
+
+
+def how_gang_ends(seed, count=4, attempts=1, fails=True):
+    """Return the ends that the workers list for each run of a gang, and the cell."""
+    cell = Cell(Loop(), workers=2, run_s=0.01, seed=seed)
+    step = StepSpec(count=4, cpu=1_000, gang=True)
+    cell.specs["a" * 16] = JobSpec("a" * 16, None, "", (step,))
+    cell.gangs.fails = lambda job_id: fails
+    cell.gangs.timeout_s = 0.05
+    ends = []
+    for attempt in range(1, attempts + 1):
+        start_gang_members(cell, attempt, count)
+        cell.loop.run_until(lambda: False, 0.3)
+        for worker in cell.workers.values():
+            ends += [entry[3] for entry in worker.unacknowledged_ends]
+            cell.gangs.on_acknowledged(worker.unacknowledged_ends)
+            worker.unacknowledged_ends = []
+    return ends, cell
+
+
+def test_stand_in_lets_several_members_of_a_gang_fail():
+    # Guards against a soak in which one member fails and the others are broken (issue
+    # 50: a run was counted once for each failed member).
+    drawn = {tuple(sorted(how_gang_ends(seed)[0])) for seed in range(12)}
+    assert_that(len(drawn), GreaterThan(2))
+    assert_that([ends for ends in drawn if "failed" not in ends], Equals([]))
+    assert_that(how_gang_ends(1, fails=False)[0], Equals(["done"] * 4))
+
+
+def test_members_of_a_gang_that_wait_too_long_end_alone():
+    assert_that(how_gang_ends(1, count=3)[0], Equals(["alone"] * 3))
+
+
+def test_stand_in_reports_a_run_of_a_gang_after_all_attempts():
+    assert_that(how_gang_ends(1, attempts=3)[1].violations, Equals([]))
+    violations = how_gang_ends(1, attempts=4)[1].violations
+    assert_that(violations[0], StartsWith("BUDGET: gang of " + "a" * 16))
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,11 +9,12 @@
 workers that are silent, crash or change their capacity, and deadly tasks, which crash
 each worker that starts them. The checks: no task runs twice or again after its end, no
 start exceeds a worker's capacity or a workspace's cap, no deadly task is started
-without limit, no call with an unknown key runs, a withdrawn key is refused and no other
-one, a job whose submissions were all refused runs no task, every accepted job
-completes, or fails if it has a deadly task, without waiting beside free room once the
-faults are over (only by the command), no node exits unless it was told to, and no
-node uses more than 128 MiB of memory.
+without limit, gangs that fail use exactly their attempts, no call with an unknown key
+runs, a withdrawn key is refused and no other one, a job whose submissions were all
+refused runs no task, every accepted job completes, or fails if it has a deadly task or
+its gang fails, without waiting beside free room once the faults are over (only by the
+command), no node exits unless it was told to, and no node uses more than 128 MiB of
+memory.
 """
 
 import argparse
@@ -41,6 +42,10 @@
 # Run time of a task. A job has up to eight tasks in two steps.
 TASK_RUN_S = 0.3
 SUBMIT_INTERVAL_S = 0.12
+# Between the submissions of gangs that fail.
+GANG_INTERVAL_S = 2.5
+# A job may be shown as failed after so many crashes of workers under one of its tasks.
+CRASHES_TO_FAIL = 2
 FAULT_INTERVAL_S = 0.7
 # Longest fault: longer than a takeover takes, and longer than a leader keeps its role
 # while it can't reach the store.
@@ -110,6 +115,10 @@
         # Names of the deadly tasks.
         self.deadly = set()
         self.cell.deadly = self.deadly.__contains__
+        # Ids of the jobs whose gangs fail; drawn apart, as the keys are.
+        self.gang_rng = random.Random(f"gangs {seed}")
+        self.failing_gangs = set()
+        self.cell.gangs.fails = self.failing_gangs.__contains__
         self.events = []
         self.failures = []
         self.is_load_over = False
@@ -134,6 +143,7 @@
             self._wait_serving()
             self._submit_next()
             self.submit_deadly_job(self.rng)
+            self._submit_failing_gang()
             self._start_next_fault()
             soak_keys.call_with_unknown_key(self)
             self.loop.call_later(self.load_s / 2, lambda: soak_keys.withdraw_key(self))
@@ -185,6 +195,20 @@
         self.jobs.append(job)
         self._submit(job, MAX_ATTEMPTS)
 
+    def _submit_failing_gang(self):
+        """Submit a gang whose runs fail, and others at intervals."""
+        if self.is_load_over:
+            return
+        rng = self.gang_rng
+        job_id = f"{rng.getrandbits(64):016x}"
+        step = {"count": rng.randint(2, 6), "cpu": 500, "mem_mb": 64, "gang": True}
+        self.failing_gangs.add(job_id)
+        body, owner = {"spec": "s", "steps": [step]}, rng.choice(soak_keys.CHOICES)
+        job = SubmittedJob(job_id, body, owner, "failed")
+        self.jobs.append(job)
+        self._submit(job, MAX_ATTEMPTS)
+        self.loop.call_later(GANG_INTERVAL_S, self._submit_failing_gang)
+
     def _submit(self, job, attempts):
         """Submit a job; retry with the same id until it is accepted.
 
@@ -265,6 +289,7 @@
                     f" {job.outcome}"
                 )
         self.failures += self.cell.violations
+        self._check_failed_gangs()
         started = {task.split(".")[0] for _, task, _ in self.cell.starts}
         for job in self.jobs:
             if job.statuses and job.is_refused and job.id in started:
@@ -282,6 +307,21 @@
         for node in self.nodes:
             self._check_node(node)
 
+    def _check_failed_gangs(self):
+        """Check that gangs were shown as failed only after all of their attempts."""
+        cell = self.cell
+        crashed = {
+            n[:16] for n, c in cell.crashes.by_task.items() if c >= CRASHES_TO_FAIL
+        }
+        for job in self.jobs:
+            runs = cell.gangs.failed.get(f"{job.id}.0.0", ())
+            if job.id not in self.failing_gangs - crashed or job.state != "failed":
+                continue
+            if len(runs) < cell.max_attempts:
+                self.failures.append(
+                    f"LOST: {job.id} has failed after {len(runs)} runs of its gang"
+                )
+
     def _check_node(self, node):
         code = node.popen.poll()
         if code is not None:
