Test of the lost leader: set what nodes know until another one leads

Cause: the test empties the peers of the nodes and then kills the leader. A heartbeat that it had sent before arrives after that and names all nodes again, so that the successor knows the lost node, which is then never silent.

Change: what the nodes know is set until one of them leads; the other tests of the file do the same.

--- a/tests/test_lost_leader.py
+++ b/tests/test_lost_leader.py
@@ -33,13 +33,27 @@
     lost, *others = [n for n in cluster.nodes if n is not first]
     cluster.wait(lambda: len(lost.peer_state.peers) == nodes - 1)
     turn_away(cluster, lost)
-    for node in others:
-        node.peer_state.peers = [n.address for n in others if n is not node]
     kill(cluster, first)
-    cluster.wait(lambda: cluster.leader() is not None)
+    wait_for_successor(cluster, lost, others, lost.peer_state.peers)
     return lost, cluster.leader()
 
 
+def wait_for_successor(cluster, lost, others, peers_of_lost):
+    """Wait until one of ``others`` leads, which do not know the lost node.
+
+    A heartbeat that the first leader had sent may arrive after its end and name all
+    nodes again, so they are set until then.
+    """
+
+    def has_successor():
+        lost.peer_state.peers = list(peers_of_lost)
+        for node in others:
+            node.peer_state.peers = [n.address for n in others if n is not node]
+        return cluster.leader() is not None
+
+    cluster.wait(has_successor)
+
+
 def test_versions_reach_a_node_that_the_next_leader_does_not_know(cluster):
     # CONFIG: eight of 35 nodes served by a configuration 18 s old, until the store
     # answered them again.
@@ -64,11 +78,8 @@
     first = cluster.leader()
     lost, *others = [n for n in cluster.nodes if n is not first]
     turn_away(cluster, lost)
-    lost.peer_state.peers = []
-    for node in others:
-        node.peer_state.peers = [n.address for n in others if n is not node]
     kill(cluster, first)
-    cluster.wait(lambda: cluster.leader() is not None)
+    wait_for_successor(cluster, lost, others, [])
     successor = cluster.leader()
     third = next(n for n in others if n is not successor)
     cluster.wait(lambda: third.leadership.leader_address == successor.address)
