Keep the limit of a step on a worker among suspects of one pass

What callers would see: ROUTE, more tasks of a step on an executor than its anti_affinity allows.

Cause: once a suspect of a job has outlasted its trial, the others are placed on several workers in one pass. Tasks that are placed, but have no run yet, are not counted against the limit of the step on a worker, and where half of the workers are in trial a worker could be chosen twice.

Change: the workers of one call are used once. The simulated cell checks the limit at each start.

Evidence: with that check 18 tests of test_crash_trials.py fail on, 16 of them new; all pass now.

--- a/cornelward/crash_trials.py
+++ b/cornelward/crash_trials.py
@@ -7,6 +7,8 @@
 its trial: the next crash shows that it is the cause.
 """
 
+import functools
+
 from . import planning
 from .capacity_index import FreeCapacity, close_worker, move_worker
 from .planning import MAX_COMPARED_WORKERS
@@ -127,11 +129,13 @@
     is_alone = any(_is_isolated(task) for task in tasks)
     if job.spec.steps[key[1]].gang:
         return _fit(trials, capacity, candidate, service, is_alone, _fit_gang)
-    placed = []
+    placed, used = [], set()
+    fit = functools.partial(_fit_on_another_worker, used)
     while len(placed) < len(tasks):
         rest = candidate._replace(tasks=tasks[len(placed) :])
-        found = _fit(trials, capacity, rest, service, is_alone, _fit_on_one_worker)
+        found = _fit(trials, capacity, rest, service, is_alone, fit)
         placed += found
+        used.update(placement.worker.info.id for placement in found)
         if not found or is_alone or not _has_passed_trial(job, trials.workers):
             break
     return placed
@@ -163,12 +167,15 @@
     return placed or fit(capacity, candidate, service) or []
 
 
-def _fit_on_one_worker(capacity, candidate, service):
+def _fit_on_another_worker(used, capacity, candidate, service):
     """Return Placements on the worker that suits a trial best of the emptiest ones.
 
-    That has no runs that have just started, few on trial and few in all.
+    That has no runs that have just started, few on trial and few in all. The limit of a
+    step on a worker does not count the tasks just placed, so it is none of ``used``.
     """
-    slots = planning.emptiest_slots(capacity, candidate, service, MAX_COMPARED_WORKERS)
+    limit = MAX_COMPARED_WORKERS + len(used)
+    slots = planning.emptiest_slots(capacity, candidate, service, limit)
+    slots = [slot for slot in slots if slot[0].info.id not in used]
     if not slots:
         return []
     return planning.fill_worker(capacity, candidate, min(slots, key=_trial_preference))
--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -2,9 +2,9 @@
 
 All components share one virtual clock; delays and faults come from a seeded random
 source. The simulation checks these invariants: no overcommitted worker, one run of a
-task at a time, steps in order, no workspace above its cap, and those of
-``fixtures_attempts``, ``fixtures_crashes`` and ``fixtures_waits``. A gang succeeds only
-if all its members run together.
+task at a time, steps in order, no more of a step on a worker than it allows, no
+workspace above its cap, and those of ``fixtures_attempts``, ``fixtures_crashes`` and
+``fixtures_waits``. A gang succeeds only if all its members run together.
 """
 
 import heapq
@@ -224,7 +224,11 @@
                 f"LIMIT: {worker.info.id} is overcommitted with {used} "
                 f"at {self.now:.2f}"
             )
-        job_id, occurrence, _, _ = name.split(".")
+        job_id, occurrence, number, _ = name.split(".")
+        prefix = f"{job_id}.{occurrence}.{number}."
+        beside = sum(key[0].startswith(prefix) for key in worker.running)
+        if 0 < run.step.max_per_worker < beside:
+            self.violations.append(f"ROUTE: {name} beside others at {self.now:.2f}")
         for before in run.step.after:
             count = self.specs[job_id].steps[before].count
             names = {f"{job_id}.{occurrence}.{before}.{i}" for i in range(count)}
--- a/tests/test_crash_trials.py
+++ b/tests/test_crash_trials.py
@@ -143,6 +143,17 @@
     assert_all_restarted_soon(sim)
 
 
+@pytest.mark.parametrize("seed", [*range(4), *range(1_000, 1_004)])
+@pytest.mark.parametrize("most", [1, 2])
+def test_suspects_keep_the_limit_of_their_step_on_a_worker(seed, most):
+    # Guards against tasks that are placed in one pass without counting each other.
+    sim = start_cell(seed)
+    steps = steps_of(20 * most, cpu=500, estimate_s=RUN_S, max_per_worker=most)
+    submit_jobs(sim, (4, steps))
+    lose(sim, workers_to_lose(sim, "half"))
+    assert_all_restarted_soon(sim)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_two_losses_of_racks_in_a_row_make_no_queue_of_trials(seed):
     sim = start_cell(seed)
