--- a/cornelward/crash_trials.py
+++ b/cornelward/crash_trials.py
@@ -7,8 +7,6 @@
 its trial: the next crash shows that it is the cause.
 """
 
-import functools
-
 from . import planning
 from .capacity_index import FreeCapacity, close_worker, move_worker
 from .planning import MAX_COMPARED_WORKERS
@@ -130,7 +128,10 @@
     if job.spec.steps[key[1]].gang:
         return _fit(trials, capacity, candidate, service, is_alone, _fit_gang)
     placed, used = [], set()
-    fit = functools.partial(_fit_on_another_worker, used)
+
+    def fit(capacity, candidate, service):
+        return _fit_on_another_worker(used, capacity, candidate, service)
+
     while len(placed) < len(tasks):
         rest = candidate._replace(tasks=tasks[len(placed) :])
         found = _fit(trials, capacity, rest, service, is_alone, fit)
