--- a/cornelward/crash_trials.py
+++ b/cornelward/crash_trials.py
@@ -50,9 +50,9 @@
         self.shared = self.count = self.limit = None
 
 
-def has_suspects(tasks):
-    """Return whether one of the tasks is a suspect."""
-    return any(is_suspect(task) for task in tasks)
+def has_suspects(job, tasks):
+    """Return whether one of the job's tasks in ``tasks`` is a suspect."""
+    return job.has_crashes and any(is_suspect(task) for task in tasks)
 
 
 def is_suspect(task):
--- a/cornelward/dispatch_plan.py
+++ b/cornelward/dispatch_plan.py
@@ -229,7 +229,7 @@
 
 
 def _wait_reason(job, candidate):
-    if crash_trials.has_suspects(candidate.tasks):
+    if crash_trials.has_suspects(job, candidate.tasks):
         return waits.TRIAL_LIMIT
     gang = job.spec.steps[candidate.key[1]].gang
     return waits.GANG_ROOM if gang else waits.NO_ROOM
@@ -239,7 +239,7 @@
     """Place the tasks of a candidate that fit; returns their Placements."""
     now, capacity = this_pass.now, this_pass.capacity
     job, key, tasks = candidate[:3]
-    are_suspects = crash_trials.has_suspects(tasks)
+    are_suspects = crash_trials.has_suspects(job, tasks)
     if are_suspects:
         trials = this_pass.trials
         placed = crash_trials.fit_suspects(trials, capacity, candidate, service)
