--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -404,5 +404,13 @@
     if run.step.gang:
         failures = sum(t.failures for t in job.tasks[key])
     queue = state.queues.get(job.spec.queue.name, job.spec.queue)
+    log(
+        "info",
+        "attempt_counted",
+        task=run.name,
+        run=run.attempt,
+        failures=failures,
+        max_attempts=queue.max_attempts,
+    )
     if failures >= queue.max_attempts:
         fail_job(state, now, job, task, "attempts used up")
