Count no crash under the members of a gang's run that has failed

What callers may see: LOST: a job with a gang is shown as failed after one failed run of three and one crash of a worker.

Cause: a member ends with its gang's run, but its worker is out of reach and restarts before it lists the end. The leader has read the failed end of another member; it counts that run as an attempt, and the restart as a crash under the member besides. The next crash is then the second quick one under the same task, which fails the job.

Change: a run of a gang that has been counted as failed counts no crash. A member under which workers do crash breaks the runs of the others and is counted as before; a failed end beside each crash would use up the attempts.

--- a/cornelward/dispatch_crashes.py
+++ b/cornelward/dispatch_crashes.py
@@ -175,6 +175,9 @@
     job, task, seen = run.job, run.task, crash.seen
     if task.run is not run or job.outcome is not None:
         return
+    if run.step.gang and job.failed_gang_runs.get(task.key[:2]) == run.attempt:
+        # The run of all members has ended before.
+        return
     ran_s = _observed_run_s(run, seen.at)
     if run.step.long_running and ran_s >= SURVIVED_S:
         return
--- a/tests/test_gang_paths.py
+++ b/tests/test_gang_paths.py
@@ -197,6 +197,40 @@
     assert_that(sim.violations, Equals([]))
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("changes", [False, True], ids=["", "leaders"])
+@pytest.mark.parametrize("how", ["failed", "broken"])
+def test_run_that_has_failed_is_no_crash_of_its_members_too(seed, changes, how):
+    # A worker restarts before it can list its member's end; run 2 has a real crash.
+    sim = start_cell(
+        seed,
+        4,
+        3,
+        lambda attempt: ["failed"] * 3 + [how] if attempt == 1 else ["done"] * 4,
+        spare=4,
+        rack_size=4,
+        estimate_s=0.8,
+    )
+    run_until(sim, lambda: begun_runs(sim))
+    lost = worker_of_member(sim, 3)
+    sim.run(0.5)
+    lost.silent = True
+    run_until(sim, lambda: is_counted(sim))
+    sim.run(0.3)
+    lost.restart(2)
+    lost.silent = False
+    if changes:
+        replace_leader(sim)
+    run_until(sim, lambda: len(begun_runs(sim)) > 1)
+    sim.run(0.1)
+    again = worker_of_member(sim, 3, highest_begun(sim))
+    again.crash(3.0, sim.next_worker_id())
+    sim.run(40.0)
+    assert_that(sim.crashes.by_task[f"{STEP}.3"], Equals(1))
+    assert_that(dispatch.state_of(sim.leader.core, JOB), Equals("completed"))
+    assert_that(sim.violations, Equals([]))
+
+
 # Paths of a worker that is cut off
 
 
