Soak: faults beside the ends of gangs that fail, queues of one to three attempts

Change: a gang that fails goes to a queue of one, two or three attempts. Beside its ends the leader's process is killed or stopped within 0.15 s, a member's worker is cut off until the gang's next run has begun (its list comes late), and once a run a member's worker or a rack crashes. These are drawn apart, so that the other jobs and faults of a seed stay as they were.

The check of LOST uses the attempts of the queue. A worker that is cut off ends its runs when its lease does; before, the stand-in let them run on until its next call, and would have reported their tasks as running twice.

--- a/standins/cell.py
+++ b/standins/cell.py
@@ -257,6 +257,8 @@
     def on_run_started(self, worker, key):
         self.starts.append((worker.id, *key))
         for other in self.workers.values():
+            # One that is cut off ends its runs by itself.
+            other.check_lease()
             if any(k[0] == key[0] and k != key for k in other.running):
                 self.violations.append(f"{key[0]} runs twice at once")
         if key[0] in self.finished and not self._is_void(*self.finished[key[0]]):
--- a/standins/cell_worker.py
+++ b/standins/cell_worker.py
@@ -219,7 +219,9 @@
 
     def poll_runs(self, call, body):
         taken = [e for e in self.unacknowledged_ends if e[0] <= body["last_seen"]]
-        self.cell.gangs.on_acknowledged(taken)
+        self.cell.gangs.on_acknowledged(
+            e for e in taken if (self.life, e[0]) not in self.void_ends
+        )
         del self.unacknowledged_ends[: len(taken)]
         wait_s = body.get("wait_ms", 0) / 1000
         if self.unacknowledged_ends or not wait_s:
--- a/standins/gang_runs.py
+++ b/standins/gang_runs.py
@@ -24,18 +24,22 @@
 class GangRuns:
     """The runs of a cell's gangs.
 
-    ``fails`` tells whether the runs of a job fail. ``failed`` maps the names of steps
-    to the attempts of which members have ended as failed, ``noted`` to those of which
-    such an end was acknowledged.
+    ``fails`` tells whether the runs of a job fail. ``scripts`` maps the ids of jobs to
+    functions of (attempt, [(worker, key of a member)]) that end their runs.
+    ``failed`` maps the names of steps to the attempts of which members have ended as
+    failed, ``noted`` to those of which such an end was acknowledged and is not void.
     """
 
     def __init__(self, cell, seed):
         self.cell = cell
         self.rng = random.Random(f"gangs {seed}")
         self.fails = lambda job_id: False
+        self.scripts = {}
         self.timeout_s = GANG_TIMEOUT_S
         self.begun = set()
         self.failed, self.noted = {}, {}
+        # [(unit, attempts that had failed before)] of the starts.
+        self.starts = []
 
     def _spec(self, key):
         spec = self.cell.spec_of(key[0])
@@ -61,24 +65,49 @@
             self.cell.loop.call_later(self.cell.run_s, lambda: self._end(unit, count))
         else:
             self.cell.loop.call_later(self.timeout_s, lambda: self._end_alone(unit))
-        others = self.noted.get(unit[0], set()) - {unit[1]}
-        return len(others) >= self.cell.max_attempts
+        failed = frozenset(self.failed.get(unit[0], ())) - {unit[1]}
+        self.starts.append((unit, failed))
+        return self._is_excess(unit, failed)
+
+    def max_attempts_of(self, job_id):
+        """Return the number of failed runs after which the job has failed."""
+        queue = self.cell.spec_of(job_id).queue
+        return self.cell.max_attempts if queue is None else queue.max_attempts
+
+    def _is_excess(self, unit, failed):
+        noted = failed & self.noted.get(unit[0], set())
+        return len(noted) >= self.max_attempts_of(unit[0][:16])
+
+    def excess_starts(self):
+        """Return the units started although their gang had used up its attempts.
+
+        Ends count, too, that were acknowledged after the start.
+        """
+        return {unit for unit, failed in self.starts if self._is_excess(unit, failed)}
 
     def _end(self, unit, count):
-        members = self._members(unit)
+        for worker in self.cell.workers.values():
+            worker.check_lease()
+        members, script = self._members(unit), self.scripts.get(unit[0][:16])
         if len(members) < count:
             self._end_all(members, "broken")
+        elif script is not None:
+            script(unit[1], members)
         elif not self.fails(unit[0][:16]):
             self._end_all(members, "done")
         else:
-            hows = ["failed"] * self.rng.randint(1, count)
-            hows += ["broken"] * (count - len(hows))
-            self.rng.shuffle(hows)
-            for (worker, key), how in zip(members, hows, strict=True):
-                delay_s = self.rng.choice(END_DELAYS_S)
-                self.cell.loop.call_later(
-                    delay_s, lambda w=worker, k=key, h=how: w.end(k, h)
-                )
+            self.fail_members(members)
+
+    def fail_members(self, members):
+        """End a run's members, some of them as failed and the others as broken."""
+        hows = ["failed"] * self.rng.randint(1, len(members))
+        hows += ["broken"] * (len(members) - len(hows))
+        self.rng.shuffle(hows)
+        for (worker, key), how in zip(members, hows, strict=True):
+            delay_s = self.rng.choice(END_DELAYS_S)
+            self.cell.loop.call_later(
+                delay_s, lambda w=worker, k=key, h=how: w.end(k, h)
+            )
 
     def _end_alone(self, unit):
         if unit not in self.begun:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,13 +6,14 @@
 from types import SimpleNamespace
 
 import pytest
+from msgspec.json import encode
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength, StartsWith
 
 from cornelward.loop import Loop
 from cornelward.staged_jobs import JobSpec, StepSpec
 from standins.cell import ROUTE, Cell
-from tools import soak_keys, soak_waits
+from tools import soak_gangs, soak_keys, soak_waits
 from tools.soak import run_seed
 
 # Duration of the load under faults: long enough for a takeover and a restart.
@@ -166,3 +167,43 @@
     assert_that(how_gang_ends(1, attempts=3)[1].violations, Equals([]))
     violations = how_gang_ends(1, attempts=4)[1].violations
     assert_that(violations[0], StartsWith("BUDGET: gang of " + "a" * 16))
+
+
+def test_stand_in_reports_a_run_after_ends_that_are_acknowledged_later():
+    cell = how_gang_ends(1, attempts=0)[1]
+    for attempt in range(1, 5):
+        start_gang_members(cell, attempt, 4)
+        cell.loop.run_until(lambda: False, 0.3)
+    assert_that(cell.gangs.excess_starts(), Equals(set()))
+    for worker in cell.workers.values():
+        cell.gangs.on_acknowledged(worker.unacknowledged_ends)
+    assert_that(cell.gangs.excess_starts(), Equals({("a" * 16 + ".0.0", 4)}))
+
+
+@pytest.mark.parametrize(("lease_left_ms", "noted"), [(60_000, True), (-1, False)])
+def test_end_that_is_acknowledged_after_the_lease_counts_for_nothing(
+    lease_left_ms, noted
+):
+    cell = how_gang_ends(1, attempts=0)[1]
+    start_gang_members(cell, 1, 4)
+    cell.loop.run_until(lambda: False, 0.3)
+    for worker in cell.workers.values():
+        worker.deadline_ms = worker.clock_ms + lease_left_ms
+        body = {"fencing_token": 1, "last_seen": 100}
+        request = SimpleNamespace(headers={}, path="/hold", body=encode(body))
+        call = SimpleNamespace(
+            request=request, answered=False, answer_json=lambda status, fields: None
+        )
+        worker.handle(call)
+    assert_that("a" * 16 + ".0.0" in cell.gangs.noted, Equals(noted))
+
+
+@pytest.mark.parametrize(("attempts", "lost"), [(1, 0), (2, 1), (3, 1)])
+def test_gang_shown_as_failed_with_attempts_left_is_reported(attempts, lost):
+    cell = how_gang_ends(1)[1]
+    cell.max_attempts = attempts
+    job = SimpleNamespace(id="a" * 16, state="failed")
+    gangs = SimpleNamespace(ids={job.id})
+    soak = SimpleNamespace(cell=cell, jobs=[job], gangs=gangs, failures=[])
+    soak_gangs.check_attempts(soak)
+    assert_that([f[:4] for f in soak.failures], Equals(["LOST"] * lost))
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -7,14 +7,15 @@
 Faults overlap: signals to nodes, restarts, connections that are delayed, reset, refused
 or silent, a store that is unavailable, slow or loses answers or its change history,
 workers that are silent, crash or change their capacity, and deadly tasks, which crash
-each worker that starts them. The checks: no task runs twice or again after its end, no
-start exceeds a worker's capacity or a workspace's cap, no deadly task is started
-without limit, gangs that fail use exactly their attempts, no call with an unknown key
-runs, a withdrawn key is refused and no other one, a job whose submissions were all
-refused runs no task, every accepted job completes, or fails if it has a deadly task or
-its gang fails, without waiting beside free room once the faults are over (only by the
-command), no node exits unless it was told to, and no node uses more than 128 MiB of
-memory.
+each worker that starts them. Beside the ends of gangs that fail, leaders are replaced,
+and workers or racks of members are lost or cut off. The checks: no task runs twice or
+again after its end, no start exceeds a worker's capacity or a workspace's cap, no
+deadly task is started without limit, gangs that fail use exactly their attempts, no
+call with an unknown key runs, a withdrawn key is refused and no other one, a job whose
+submissions were all refused runs no task, every accepted job completes, or fails if it
+has a deadly task or its gang fails, without waiting beside free room once the faults
+are over (only by the command), no node exits unless it was told to, and no node uses
+more than 128 MiB of memory.
 """
 
 import argparse
@@ -30,7 +31,7 @@
 from standins.cell import Cell
 from standins.proxy import Proxy
 
-from . import soak_keys
+from . import soak_gangs, soak_keys
 from .soak_faults import FAULTS, WORKER_CPU, restart
 from .soak_nodes import Node
 from .soak_waits import watch_waits
@@ -42,10 +43,6 @@
 # Run time of a task. A job has up to eight tasks in two steps.
 TASK_RUN_S = 0.3
 SUBMIT_INTERVAL_S = 0.12
-# Between the submissions of gangs that fail.
-GANG_INTERVAL_S = 2.5
-# A job may be shown as failed after so many crashes of workers under one of its tasks.
-CRASHES_TO_FAIL = 2
 FAULT_INTERVAL_S = 0.7
 # Longest fault: longer than a takeover takes, and longer than a leader keeps its role
 # while it can't reach the store.
@@ -115,10 +112,7 @@
         # Names of the deadly tasks.
         self.deadly = set()
         self.cell.deadly = self.deadly.__contains__
-        # Ids of the jobs whose gangs fail; drawn apart, as the keys are.
-        self.gang_rng = random.Random(f"gangs {seed}")
-        self.failing_gangs = set()
-        self.cell.gangs.fails = self.failing_gangs.__contains__
+        self.gangs = soak_gangs.FailingGangs(seed)
         self.events = []
         self.failures = []
         self.is_load_over = False
@@ -143,7 +137,7 @@
             self._wait_serving()
             self._submit_next()
             self.submit_deadly_job(self.rng)
-            self._submit_failing_gang()
+            soak_gangs.submit_failing_gang(self)
             self._start_next_fault()
             soak_keys.call_with_unknown_key(self)
             self.loop.call_later(self.load_s / 2, lambda: soak_keys.withdraw_key(self))
@@ -161,7 +155,7 @@
     def _wait_serving(self):
         body = {"spec": "", "steps": [{"count": 1, "cpu": 10}]}
         probe = SubmittedJob("f" * 16, body, soak_keys.choose_key(self))
-        self._submit(probe, SETTLE_S / RETRY_S)
+        self.submit(probe, SETTLE_S / RETRY_S)
         if not self.loop.run_until(lambda: probe.is_accepted, SETTLE_S):
             self.failures.append("no node accepted a job before the first fault")
 
@@ -182,34 +176,23 @@
         job_id, body = f"{rng.getrandbits(64):016x}", {"spec": "s", "steps": steps}
         job = SubmittedJob(job_id, body, soak_keys.choose_key(self))
         self.jobs.append(job)
-        self._submit(job, MAX_ATTEMPTS)
+        self.submit(job)
         self.loop.call_later(SUBMIT_INTERVAL_S, self._submit_next)
 
+    def submit_doomed_job(self, job_id, step, owner):
+        """Submit a job of one step that is to fail."""
+        job = SubmittedJob(job_id, {"spec": "s", "steps": [step]}, owner, "failed")
+        self.jobs.append(job)
+        self.submit(job)
+
     def submit_deadly_job(self, rng):
         """Submit a job with one deadly task."""
         job_id, count = f"{rng.getrandbits(64):016x}", rng.randint(1, 4)
         step = {"count": count, "cpu": 1_000, "mem_mb": 64, "estimate_ms": 300}
         self.deadly.add(f"{job_id}.0.0.{rng.randrange(count)}")
-        body, owner = {"spec": "s", "steps": [step]}, soak_keys.choose_key(self)
-        job = SubmittedJob(job_id, body, owner, "failed")
-        self.jobs.append(job)
-        self._submit(job, MAX_ATTEMPTS)
+        self.submit_doomed_job(job_id, step, soak_keys.choose_key(self))
 
-    def _submit_failing_gang(self):
-        """Submit a gang whose runs fail, and others at intervals."""
-        if self.is_load_over:
-            return
-        rng = self.gang_rng
-        job_id = f"{rng.getrandbits(64):016x}"
-        step = {"count": rng.randint(2, 6), "cpu": 500, "mem_mb": 64, "gang": True}
-        self.failing_gangs.add(job_id)
-        body, owner = {"spec": "s", "steps": [step]}, rng.choice(soak_keys.CHOICES)
-        job = SubmittedJob(job_id, body, owner, "failed")
-        self.jobs.append(job)
-        self._submit(job, MAX_ATTEMPTS)
-        self.loop.call_later(GANG_INTERVAL_S, self._submit_failing_gang)
-
-    def _submit(self, job, attempts):
+    def submit(self, job, attempts=MAX_ATTEMPTS):
         """Submit a job; retry with the same id until it is accepted.
 
         Makes at most ``attempts`` attempts, and none after the load has ended.
@@ -219,7 +202,7 @@
             job.statuses.append(result.status)
             soak_keys.check_status(self, job.key, result.status)
             if result.status != 200 and attempts > 1 and not self.is_load_over:
-                self.loop.call_later(RETRY_S, lambda: self._submit(job, attempts - 1))
+                self.loop.call_later(RETRY_S, lambda: self.submit(job, attempts - 1))
 
         self.send(self.rng.choice(self.nodes), "POST", job.id, job.key, done, job.body)
 
@@ -228,7 +211,7 @@
         self.client.request_json(
             node.address,
             method,
-            f"/jobs/{job_id}",
+            f"/{self.gangs.queues.get(job_id, 'jobs')}/{job_id}",
             on_done,
             value=body,
             headers=soak_keys.headers_of(key),
@@ -289,7 +272,7 @@
                     f" {job.outcome}"
                 )
         self.failures += self.cell.violations
-        self._check_failed_gangs()
+        soak_gangs.check_attempts(self)
         started = {task.split(".")[0] for _, task, _ in self.cell.starts}
         for job in self.jobs:
             if job.statuses and job.is_refused and job.id in started:
@@ -307,21 +290,6 @@
         for node in self.nodes:
             self._check_node(node)
 
-    def _check_failed_gangs(self):
-        """Check that gangs were shown as failed only after all of their attempts."""
-        cell = self.cell
-        crashed = {
-            n[:16] for n, c in cell.crashes.by_task.items() if c >= CRASHES_TO_FAIL
-        }
-        for job in self.jobs:
-            runs = cell.gangs.failed.get(f"{job.id}.0.0", ())
-            if job.id not in self.failing_gangs - crashed or job.state != "failed":
-                continue
-            if len(runs) < cell.max_attempts:
-                self.failures.append(
-                    f"LOST: {job.id} has failed after {len(runs)} runs of its gang"
-                )
-
     def _check_node(self, node):
         code = node.popen.poll()
         if code is not None:
--- a/tools/soak_keys.py
+++ b/tools/soak_keys.py
@@ -22,6 +22,13 @@
 CHOICES = tuple((name, key) for name, keys in KEYS.items() for key in keys)
 # A gang of the load fills the cap.
 CAPS = {"capped": 4_000}
+# Queues by their numbers of attempts; most jobs go to the last one.
+QUEUES = {1: "once", 2: "twice", ROUTE["max_attempts"]: ROUTE["name"]}
+ROUTES = [
+    ROUTE | {"name": name, "max_attempts": number, "path_prefix": f"/{name}/"}
+    for number, name in QUEUES.items()
+    if name != ROUTE["name"]
+] + [ROUTE]
 UNKNOWN_KEY_INTERVAL_S = 0.5
 # Time within which a configuration has to be in force (default of the nodes' settings).
 CONFIG_APPLY_S = 4.0
@@ -30,14 +37,14 @@
 
 def configure(soak):
     """Write the first configuration."""
-    soak.cell.configure(1, [ROUTE], KEYS, CAPS)
+    soak.cell.configure(1, ROUTES, KEYS, CAPS)
 
 
 def withdraw_key(soak):
     """Write a configuration without the second key of the workspace ``open``."""
     soak.record_event("a key is withdrawn")
     soak.withdrawn_at = soak.loop.now()
-    soak.cell.configure(2, [ROUTE], {**KEYS, "open": (CURRENT,)}, CAPS)
+    soak.cell.configure(2, ROUTES, {**KEYS, "open": (CURRENT,)}, CAPS)
 
 
 def choose_key(soak):
--- a/tools/soak_nodes.py
+++ b/tools/soak_nodes.py
@@ -36,11 +36,15 @@
 
 
 class Node:
-    """A node's process and settings; ``store_proxy`` forwards to the store."""
+    """A node's process and settings; ``store_proxy`` forwards to the store.
 
-    def __init__(self, name, folder, store_proxy, advice):
+    ``root`` is the checkout whose code the process runs.
+    """
+
+    def __init__(self, name, folder, store_proxy, advice, root=ROOT):
         self.name = name
         self.folder = folder
+        self.root = root
         self.store_proxy = store_proxy
         front, ready, peer, status = free_ports(4)
         self.address = f"127.0.0.1:{front}"
@@ -66,10 +70,11 @@
         if self.popen is not None and self.popen.poll() is None:
             return
         env = {**os.environ, "CORNELWARD_CONFIG": str(self.path)}
+        env["PYTHONPATH"] = str(self.root)
         with open(self.folder / f"{self.name}.log", "ab") as output:
             self.popen = subprocess.Popen(
                 [sys.executable, "-m", "cornelward.platform"],
-                cwd=ROOT,
+                cwd=self.root,
                 env=env,
                 stdin=subprocess.DEVNULL,
                 stdout=output,
