Draw trouble beside failing gangs in the simulated cell

Random cells had few failing runs of gangs, jobs with 4 attempts only and no trouble beside them. They now draw 1 to 4 attempts, a share of 0.3 of gangs' runs that fails, and for half of these a worker that is cut off (its list comes up to two leases late) or one to three workers that crash at once. Runs of steps with checkpoints save one, and a run that resumes from another one, or a gang whose members resume from different ones, is a violation (UNASKED).

--- a/tests/fixtures_dispatch.py
+++ b/tests/fixtures_dispatch.py
@@ -3,8 +3,9 @@
 All components share one virtual clock; delays and faults come from a seeded random
 source. The simulation checks these invariants: no overcommitted worker, one run of a
 task at a time, steps in order, no more of a step on a worker than it allows, no
-workspace above its cap, and those of ``fixtures_attempts``, ``fixtures_crashes`` and
-``fixtures_waits``. A gang succeeds only if all its members run together.
+workspace above its cap, and those of ``fixtures_attempts``, ``fixtures_crashes``,
+``fixtures_gangs`` and ``fixtures_waits``. A gang succeeds only if all its members run
+together.
 """
 
 import heapq
@@ -14,6 +15,7 @@
 
 from fixtures_attempts import Attempts
 from fixtures_crashes import REGISTRY_DELAY_S, Crashes
+from fixtures_gangs import Checkpoints, disturb_failing_run
 from fixtures_waits import WaitCheck
 from fixtures_workers import (
     CALL_TIMEOUT_S,
@@ -82,6 +84,12 @@
         self.new_ids = True
         self.crashes = Crashes(self)
         self.attempts = Attempts(self)
+        self.checkpoints = Checkpoints(self)
+        # Share of the runs of gangs that fail, if not ``fail_share``, and share of
+        # those beside which a worker is cut off or crashes.
+        self.gang_fail_share = None
+        self.gang_trouble = 0.0
+        self.draw_max_attempts = lambda job_id: 4
         # Ids of the workers that the registry lists.
         self.listed = set()
         self.leaders = []
@@ -170,7 +178,8 @@
 
     def submit(self, job_id, steps, queue=None, **fields):
         """Store an accepted job and notify the leaders."""
-        queue = queue or Queue("q", "svc", 1, 4, 2.0, 1.0)
+        attempts = self.draw_max_attempts(job_id)
+        queue = queue or Queue("q", "svc", 1, attempts, 2.0, 1.0)
         spec = JobSpec(job_id, queue, "text", tuple(steps), **fields)
         self.specs[job_id] = spec
         part = commits.partition_of(job_id)
@@ -237,7 +246,11 @@
         self._check_cap(job_id, run.step)
         self.attempts.on_run_started(key)
         self.crashes.on_run_started(worker, key)
-        fails = self.rng.random() < self.fail_share or worker.info.id in self.failing
+        self.checkpoints.on_run_started(key, run)
+        fail_share = self.fail_share
+        if run.step.gang and self.gang_fail_share is not None:
+            fail_share = self.gang_fail_share
+        fails = self.rng.random() < fail_share or worker.info.id in self.failing
         fails = fails or job_id in self.failing_jobs
         how = "failed" if fails else "done"
         if run.step.gang:
@@ -311,7 +324,11 @@
             for (worker, key), one, delay_s in zip(now, hows, delays, strict=True):
                 self.after(delay_s, lambda w=worker, k=key, h=one: w.end(k, h))
 
-        self.after(run.step.estimate_s * factor, end)
+        run_s = run.step.estimate_s * factor
+        self.after(run_s, end)
+        if how == "failed":
+            workers = list({w.info.id: w for w, _ in members}.values())
+            disturb_failing_run(self, step_name, attempt, workers, run_s)
 
     def draw_gang_ends(self, step_name, attempt, count):
         """Return how the members of a failing run end; at least one has failed."""
--- a/tests/fixtures_workers.py
+++ b/tests/fixtures_workers.py
@@ -109,6 +109,8 @@
         self.info = info
         self.drift = drift
         self.silent = False
+        # Until when nobody reaches the worker; see ``cut_off``.
+        self.cut_until = 0.0
         self.late_share = 0.0
         # Tokens of the leaders that do not reach the worker.
         self.cut_from = set()
@@ -186,7 +188,12 @@
     def is_silent(self):
         """Return whether nothing answers at the worker's address."""
         replaced = self.successor is not None and self.successor.is_silent()
-        return self.silent or self.down or replaced
+        is_cut = self.sim.now < self.cut_until
+        return self.silent or is_cut or self.down or replaced
+
+    def cut_off(self, seconds):
+        """Let nobody reach the worker for ``seconds``."""
+        self.cut_until = max(self.cut_until, self.sim.now + seconds)
 
     @property
     def clock(self):
@@ -200,11 +207,13 @@
 
     def end(self, key, how):
         """End a run and add it to the list of ended runs."""
-        if self.running.pop(key, None) is None:
+        step = self.running.pop(key, None)
+        if step is None:
             return
         self.closed_attempts[key[0]] = max(self.closed_attempts.get(key[0], 0), key[1])
         self.number += 1
-        entry = (self.number, *key, how, "")
+        saved = "" if how == "done" else self.sim.checkpoints.save(key, step)
+        entry = (self.number, *key, how, saved)
         self.sim.on_run_ended(self, key, how)
         if self.keeps_last_end and self.number <= self.acknowledged:
             self.sim.on_end_acknowledged(entry)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -17,6 +17,7 @@
     start_late,
     steps_of,
 )
+from fixtures_gangs import disturb_gangs
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength, LessThan, Not
 
@@ -40,8 +41,10 @@
 def submit_mix(sim, seconds=8.0):
     """Submit batches, chains of steps and gangs at random times within ``seconds``."""
     for i in range(JOBS):
-        gang = i % 3 == 0
-        steps = steps_of(3, 2, gang=gang) if i % 2 else steps_of(4, gang=gang)
+        fields = {"gang": i % 3 == 0}
+        if sim.gang_trouble:
+            fields["checkpoints"] = i % 5 < 2
+        steps = steps_of(3, 2, **fields) if i % 2 else steps_of(4, **fields)
         queue = ADVISED if i % 4 == 1 else None
         job_id = f"{i:016x}"
         sim.after(
@@ -66,6 +69,7 @@
 def test_every_job_finishes_without_faults(seed):
     sim = Sim(seed)
     sim.start_leader()
+    disturb_gangs(sim)
     submit_mix(sim)
     sim.run(40)
     assert_all_done(sim)
@@ -75,6 +79,7 @@
 def test_delayed_requests_never_run_a_task_twice(seed):
     sim = Sim(seed)
     sim.start_leader()
+    disturb_gangs(sim)
     submit_mix(sim)
     for worker in sim.workers.values():
         worker.late_share = 0.1
@@ -89,6 +94,7 @@
 def test_takeover_while_the_former_leader_is_still_active(seed):
     sim = Sim(seed)
     sim.start_leader()
+    disturb_gangs(sim)
     submit_mix(sim)
     for _ in range(3):
         sim.run(sim.rng.uniform(0.5, 3.0))
@@ -105,6 +111,7 @@
 def test_leader_crash_while_workers_are_unreachable(seed):
     sim = Sim(seed)
     sim.start_leader()
+    disturb_gangs(sim)
     submit_mix(sim)
     sim.run(sim.rng.uniform(0.5, 4.0))
     silent = sim.rng.sample(list(sim.workers.values()), 2)
@@ -127,6 +134,7 @@
     # that its tasks never run again. Seen with rsl-cornelward mix --seed 372350576025.
     sim = Sim(seed)
     sim.start_leader()
+    disturb_gangs(sim)
     submit_mix(sim, seconds=2.0)
     sim.run(2.2)
     for worker in sim.rng.sample(list(sim.workers.values()), 2):
@@ -157,6 +165,7 @@
     sim = Sim(seed)
     sim.store.lost_share = 0.3
     sim.start_leader()
+    disturb_gangs(sim)
     submit_mix(sim)
     sim.run(12)
     sim.start_leader()
@@ -176,6 +185,7 @@
     # and come back, orders are late, and leaders freeze, resume and change hands.
     sim = Sim(seed)
     sim.start_leader()
+    disturb_gangs(sim)
     submit_mix(sim, seconds=14.0)
     for i in range(JOBS):
         if i % 4 == 2:
@@ -208,6 +218,7 @@
     sim = Sim(seed)
     sim.fail_share = 0.0
     sim.start_leader()
+    disturb_gangs(sim)
     submit_mix(sim)
     for born in range(2, 8):
         sim.run(sim.rng.uniform(0.3, 2.0))
--- a/tests/test_former_leases.py
+++ b/tests/test_former_leases.py
@@ -20,6 +20,7 @@
     start_late,
     steps_of,
 )
+from fixtures_gangs import disturb_gangs
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Not
 
@@ -340,6 +341,7 @@
     """Play up to three changes of leader among late requests and slow clocks."""
     sim = Sim(seed)
     sim.fail_share = 0.02
+    disturb_gangs(sim)
     sim.asks_former = True
     sim.start_leader()
     for i in range(8):
