Run the tests of crowds apart from the others, one at a time

They measure a process under a crowd of clients; beside the other tests of make test, the memory and the time of the machine are not theirs. make test runs them last, with their own mark, in one process. No test is left out.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,8 @@
 	touch $@
 
 test: $(VENV)/.installed
-	$(RUN) -m pytest -n auto --maxprocesses $(TEST_PROCESSES) --dist worksteal
+	$(RUN) -m pytest -n auto --maxprocesses $(TEST_PROCESSES) --dist worksteal -m "not crowd"
+	$(RUN) -m pytest -m crowd
 
 lint: $(VENV)/.installed
 	$(VENV)/bin/ruff format --check .
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -19,6 +19,8 @@
 
 __all__ = ["program"]
 
+pytestmark = pytest.mark.crowd
+
 
 @pytest.mark.parametrize("kind", CROWDS)
 def test_crowd_takes_neither_all_memory_nor_all_descriptors(program, kind):
