Count what a request takes in memory, not only its bytes

What callers saw: a process ended, out of memory, by clients that sent chunked bodies in very small chunks, and headers of very many short lines.

Cause: each chunk was an object in a list (50 bodies in chunks of 2 bytes: 407 to 411 MiB, 41 at rest); header bytes were counted, not fields; bytes of a trailer, of a chunk's extension and of empty lines before a request were not counted, and a trailer's fields replaced those of the header.

Change: a body is one buffer, at most 100 header fields (max_header_fields), trailers count as fields and replace none, bytes that belong to no header or body are refused after max_header_bytes. A refused request is released. Limits are read when a request begins.

--- a/cornelward/compose.py
+++ b/cornelward/compose.py
@@ -80,11 +80,12 @@
 
 def _bind_server(cfg, loop, handle):
     limits = HttpLimits(
-        cfg["max_header_bytes"],
-        cfg["max_body_bytes"],
-        cfg["max_connections"],
-        cfg["idle_timeout_s"],
-        cfg["receive_timeout_s"],
+        max_header_bytes=cfg["max_header_bytes"],
+        max_header_fields=cfg["max_header_fields"],
+        max_body_bytes=cfg["max_body_bytes"],
+        max_connections=cfg["max_connections"],
+        idle_timeout_s=cfg["idle_timeout_s"],
+        receive_timeout_s=cfg["receive_timeout_s"],
     )
     try:
         return HttpServer(loop, parse_address(cfg["http_address"]), handle, limits)
--- a/cornelward/http_call.py
+++ b/cornelward/http_call.py
@@ -13,6 +13,7 @@
     """Limits of one HTTP server."""
 
     max_header_bytes: int = 16_384
+    max_header_fields: int = 100
     max_body_bytes: int = 1_048_576
     max_connections: int = 2_000
     idle_timeout_s: float = 60.0
--- a/cornelward/http_framing.py
+++ b/cornelward/http_framing.py
@@ -18,10 +18,15 @@
 # A caller that pipelines more requests than this without reading the responses gets an
 # error, and its connection is closed.
 MAX_PIPELINED_REQUESTS = 64
+# Memory that a header field takes in addition to its bytes.
+FIELD_BYTES = 200
 
 
 class HttpRequest(NamedTuple):
-    """One complete request; header names are in lower case."""
+    """One complete request; header names are in lower case.
+
+    ``size`` is the memory in bytes that header and body take.
+    """
 
     method: str
     path: str
@@ -29,6 +34,7 @@
     headers: dict
     body: bytes
     keep_alive: bool
+    size: int = 0
 
 
 class FramingError(Exception):
@@ -43,25 +49,50 @@
 class RequestFramer:
     """Parses the bytes of one connection into requests.
 
+    ``get_limits()`` returns the HttpLimits; those at its first byte hold for a request.
     ``requests`` holds the complete requests that the owner has not taken yet.
-    ``receiving`` is True while a request is incomplete. ``on_continue()`` is called
-    when the caller waits for "100 Continue" before it sends the body.
+    ``receiving`` is True while a request is incomplete, ``has_header`` if its header is
+    complete. ``on_continue()`` is called when the caller waits for "100 Continue"
+    before it sends the body.
     """
 
-    def __init__(self, max_header_bytes, max_body_bytes, on_continue=None):
+    def __init__(self, get_limits, on_continue=None):
         self.requests = []
         self.receiving = False
-        self._max_header_bytes = max_header_bytes
-        self._max_body_bytes = max_body_bytes
+        self._get_limits = get_limits
+        self._limits = get_limits()
         self._on_continue = on_continue
         self._parser = httptools.HttpRequestParser(self)
+        # Bytes since the parser last reported a begin, a part of a body or an end.
+        self._silent_bytes = 0
+        self._reset()
+
+    @property
+    def unfinished_bytes(self):
+        """Return the memory in bytes that the incomplete request takes."""
+        header = max(self._header_bytes, self._unparsed_bytes)
+        trailer = self._silent_bytes if self.has_header else 0
+        return header + self._fields * FIELD_BYTES + len(self._body) + trailer
+
+    def drop_unfinished(self):
+        """Drop the incomplete request; nothing more may be fed."""
+        # The parser keeps the bytes of an incomplete field.
+        self._parser = None
+        self.receiving = False
+        self._silent_bytes = 0
         self._reset()
 
+    def discard(self):
+        """Drop all requests; nothing more may be fed."""
+        self.requests.clear()
+        self.drop_unfinished()
+
     def feed(self, data):
         """Parse ``data``; append complete requests to ``requests``.
 
         Raises FramingError; the connection must then be closed.
         """
+        self._silent_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
@@ -72,31 +103,40 @@
             raise FramingError(400, "malformed request") from exc
         except httptools.HttpParserError as exc:
             raise FramingError(400, f"malformed request: {exc}") from exc
-        if self.receiving and not self._headers_done:
+        self._check_uncounted_bytes(len(data))
+
+    def _check_uncounted_bytes(self, size):
+        max_header_bytes = self._limits.max_header_bytes
+        if self.receiving and not self.has_header:
             # The parser buffers an incomplete header field without a callback, so the
             # received bytes are counted here. They are counted only while the header
             # is incomplete, as bytes that come after it may belong to the body.
-            self._unfinished_bytes += len(data)
-            if self._unfinished_bytes > self._max_header_bytes:
+            self._unparsed_bytes += size
+            if self._unparsed_bytes > max_header_bytes:
                 raise FramingError(431, "the request header is too large")
+        elif self._silent_bytes > max_header_bytes:
+            # Empty lines before a request, extensions of a chunk, or trailers.
+            raise FramingError(400, "too many bytes that belong to no header or body")
 
     def _reset(self):
         self._url = b""
         self._headers = {}
-        self._body = []
-        self._body_bytes = 0
+        self._fields = 0
+        self._body = bytearray()
         self._header_bytes = 0
-        self._unfinished_bytes = 0
-        self._headers_done = False
+        self._unparsed_bytes = 0
+        self.has_header = False
 
     def _check_header_size(self):
-        if self._header_bytes > self._max_header_bytes:
+        if self._header_bytes > self._limits.max_header_bytes:
             raise FramingError(431, "the request header is too large")
 
     def on_message_begin(self):
         if len(self.requests) >= MAX_PIPELINED_REQUESTS:
             raise FramingError(400, "too many pipelined requests")
         self._reset()
+        self._limits = self._get_limits()
+        self._silent_bytes = 0
         self.receiving = True
 
     def on_url(self, url):
@@ -107,6 +147,12 @@
     def on_header(self, name, value):
         self._header_bytes += len(name) + len(value) + 4
         self._check_header_size()
+        self._fields += 1
+        if self._fields > self._limits.max_header_fields:
+            raise FramingError(431, "the request header has too many fields")
+        if self.has_header:
+            # A trailer must not replace a field of the header.
+            return
         name = name.decode("latin-1").lower()
         if name == "host" and "host" in self._headers:
             raise FramingError(400, "more than one Host header")
@@ -115,9 +161,10 @@
         self._headers[name] = value.decode("latin-1")
 
     def on_headers_complete(self):
-        self._headers_done = True
+        self.has_header = True
+        self._silent_bytes = self._unparsed_bytes = 0
         length = self._headers.get("content-length")
-        if length is not None and int(length) > self._max_body_bytes:
+        if length is not None and int(length) > self._limits.max_body_bytes:
             raise FramingError(413, "the request body is too large")
         if self._parser.get_http_version() == "1.1" and "host" not in self._headers:
             raise FramingError(400, "no Host header")
@@ -125,10 +172,11 @@
             self._on_continue and self._on_continue()
 
     def on_body(self, data):
-        self._body_bytes += len(data)
-        if self._body_bytes > self._max_body_bytes:
+        self._silent_bytes = 0
+        if len(self._body) + len(data) > self._limits.max_body_bytes:
             raise FramingError(413, "the request body is too large")
-        self._body.append(data)
+        # One buffer, as each object of a list takes more memory than a small chunk.
+        self._body += data
 
     def on_message_complete(self):
         try:
@@ -136,13 +184,16 @@
         except httptools.HttpParserInvalidURLError:
             raise FramingError(400, "malformed request target") from None
         self.receiving = False
+        self._silent_bytes = self._unparsed_bytes = 0
         self.requests.append(
             HttpRequest(
                 method=self._parser.get_method().decode("ascii"),
                 path=(url.path or b"/").decode("latin-1"),
                 query=(url.query or b"").decode("latin-1"),
                 headers=self._headers,
-                body=b"".join(self._body),
+                body=bytes(self._body),
                 keep_alive=self._parser.should_keep_alive(),
+                size=self.unfinished_bytes,
             )
         )
+        self._reset()
--- a/cornelward/http_server.py
+++ b/cornelward/http_server.py
@@ -100,9 +100,7 @@
         def send_continue():
             self._send(sock, b"HTTP/1.1 100 Continue\r\n\r\n")
 
-        framer = RequestFramer(
-            self._limits.max_header_bytes, self._limits.max_body_bytes, send_continue
-        )
+        framer = RequestFramer(lambda: self._limits, send_continue)
         self.connections[sock] = _Connection(framer, time.monotonic())
 
     @handler("disconnect", override=True)
@@ -201,8 +199,7 @@
             return
         conn.close_after = True
         conn.lingering = True
-        conn.framer.requests.clear()
-        conn.framer.receiving = False
+        conn.framer.discard()
         conn.last_active_at = time.monotonic()
         self._pause_reading(sock, conn)
 
--- a/tests/test_http_framing.py
+++ b/tests/test_http_framing.py
@@ -1,6 +1,7 @@
 """Guards against requests that are split wrongly or exhaust memory."""
 
 import itertools
+import tracemalloc
 
 import pytest
 from hypothesis import given, settings
@@ -8,6 +9,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
+from cornelward.http_call import HttpLimits
 from cornelward.http_framing import FramingError, RequestFramer
 
 MAX_HEADER_BYTES = 4_096
@@ -24,7 +26,10 @@
 
 
 def framer():
-    return RequestFramer(MAX_HEADER_BYTES, MAX_BODY_BYTES)
+    limits = HttpLimits(
+        max_header_bytes=MAX_HEADER_BYTES, max_body_bytes=MAX_BODY_BYTES
+    )
+    return RequestFramer(lambda: limits)
 
 
 def feed_all(pieces):
@@ -129,3 +134,88 @@
 def test_too_many_pipelined_requests_are_refused():
     with pytest.raises(FramingError):
         feed_all([GET * 65])
+
+
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+POST_HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n"
+
+
+def feed_until_refused(head, piece, count):
+    """Feed ``head`` and ``count`` times ``piece``; return the FramingError."""
+    request_framer = framer()
+    with pytest.raises(FramingError) as raised:
+        request_framer.feed(head)
+        for _ in range(count):
+            request_framer.feed(piece)
+    return raised.value
+
+
+def test_small_chunks_take_no_more_memory_than_their_bytes():
+    # Guards against an object for each chunk of a body.
+    request_framer = framer()
+    request_framer.feed(CHUNKED_HEAD)
+    tracemalloc.start()
+    for _ in range(500):
+        request_framer.feed(b"1\r\na\r\n" * 100)
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert taken < 2 * request_framer.unfinished_bytes, taken
+
+
+def test_many_short_header_fields_are_refused():
+    # Guards against a header whose fields take far more memory than its bytes.
+    fields = b"".join(b"%x:\r\n" % i for i in range(101))
+    assert_that(feed_until_refused(POST_HEAD, fields, 1).status, Equals(431))
+
+
+def test_repeated_header_fields_are_counted():
+    assert_that(feed_until_refused(POST_HEAD, b"a:\r\n", 101).status, Equals(431))
+
+
+def test_header_with_as_many_fields_as_allowed_is_accepted():
+    fields = b"".join(b"x%d: y\r\n" % i for i in range(98))
+    pieces = [POST_HEAD, fields, b"\r\n", b"123456789"]
+    assert_that(feed_all(pieces), Equals([("/", b"123456789")]))
+
+
+@pytest.mark.parametrize(
+    ("head", "piece"),
+    [
+        (b"", b"\r\n"),
+        (CHUNKED_HEAD + b"1;x=", b"a"),
+        (CHUNKED_HEAD + b"1\r\na\r\n0\r\nx: ", b"a"),
+        (CHUNKED_HEAD + b"1\r\na\r\n0\r\n", b"x: y\r\n"),
+    ],
+    ids=["empty lines", "chunk extension", "trailer", "many trailers"],
+)
+@pytest.mark.parametrize("size", [1, 100])
+def test_endless_bytes_outside_header_and_body_are_refused(head, piece, size):
+    # Guards against bytes that no limit counts.
+    count = 2 * MAX_HEADER_BYTES // size
+    assert feed_until_refused(head, piece * size, count).status in (400, 431)
+
+
+def test_trailer_replaces_no_header_field():
+    # Guards against a key or a host that arrives after the body.
+    request_framer = framer()
+    request_framer.feed(CHUNKED_HEAD + b"1\r\na\r\n0\r\nHost: y\r\nKey: z\r\n\r\n")
+    (req,) = request_framer.requests
+    assert_that((req.headers["host"], "key" in req.headers), Equals(("x", False)))
+
+
+def test_complete_request_leaves_nothing_unfinished():
+    request_framer = framer()
+    request_framer.feed(POST)
+    assert_that(request_framer.unfinished_bytes, Equals(0))
+    assert request_framer.requests[0].size >= 5
+
+
+def test_limits_that_change_hold_from_the_next_request_on():
+    limits = [HttpLimits(max_body_bytes=5)]
+    request_framer = RequestFramer(lambda: limits[-1])
+    request_framer.feed(POST[:30])
+    limits.append(HttpLimits(max_body_bytes=4))
+    request_framer.feed(POST[30:])
+    assert_that(request_framer.requests, HasLength(1))
+    with pytest.raises(FramingError):
+        request_framer.feed(POST)
