Bound the memory of all connections of a process together

What callers saw: a process ended, out of memory, by many requests held open just short of their end, by bodies far over the limit, and by callers that read no responses. Each was inside the limits of one request.

Cause: nothing added up what all connections hold. 400 bodies that lack a byte took 144 MiB, complete ones 292, refused ones up to 402 (41 at rest): up to 64 KiB of each readable connection were read before any were handled.

Change: one budget for the connections of a process: an eighth of memory_mb, max_buffered_bytes on the own interface. It counts requests that are incomplete, wait or are handled, what a handler holds for them, and unsent responses. Beyond it the largest incomplete requests get 503 with Retry-After, callers that do not read are cut off, and further requests get 503. A caller that has read nothing for the idle timeout is cut off. Metrics and a log event say so.

--- a/cornelward/compose.py
+++ b/cornelward/compose.py
@@ -14,6 +14,7 @@
 from .entry_metrics import add_entry_collector
 from .errors import START_FAILED, CornelwardError
 from .http_client import HttpClient
+from .http_memory import MemoryBudget
 from .http_server import HttpLimits, HttpServer
 from .identity import Identity
 from .loop import Loop
@@ -87,8 +88,11 @@
         idle_timeout_s=cfg["idle_timeout_s"],
         receive_timeout_s=cfg["receive_timeout_s"],
     )
+    budget = MemoryBudget(cfg["max_buffered_bytes"])
     try:
-        return HttpServer(loop, parse_address(cfg["http_address"]), handle, limits)
+        return HttpServer(
+            loop, parse_address(cfg["http_address"]), handle, limits, budget
+        )
     except OSError as exc:
         raise _start_failed("http_address", cfg, exc.strerror) from exc
 
--- a/cornelward/http_call.py
+++ b/cornelward/http_call.py
@@ -33,16 +33,28 @@
     """A request that waits for its response.
 
     ``request`` is an HttpRequest. ``on_closed()`` is called if the connection closes
-    before the response is sent; ``closed`` is then True.
+    before the response is sent; ``closed`` is then True. ``held_bytes`` is the memory
+    that the handler takes for the request until it answers, also if the connection is
+    closed; ``on_released()`` is called then.
     """
 
-    __slots__ = ("_finish", "answered", "closed", "on_closed", "request")
+    __slots__ = (
+        "_finish",
+        "answered",
+        "closed",
+        "held_bytes",
+        "on_closed",
+        "on_released",
+        "request",
+    )
 
     def __init__(self, request, finish):
         self.request = request
         self.answered = False
         self.closed = False
         self.on_closed = None
+        self.held_bytes = 0
+        self.on_released = None
         self._finish = finish
 
     def answer(self, status, body=b"", content_type=JSON, headers=()):
@@ -55,6 +67,8 @@
         self.answered = True
         if not self.closed:
             self._finish(status, body, content_type, headers)
+        elif self.on_released is not None:
+            self.on_released()
 
     def answer_json(self, status, value, headers=()):
         """Send ``value`` as a JSON response."""
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -30,6 +30,8 @@
 MAX_TIMEOUT_DIGITS = 12
 # Characters of a path that a log line shows.
 MAX_PATH_CHARS = 100
+# Memory that a decoded step takes.
+STEP_BYTES = 500
 # Reserved for sending the response to the caller.
 RESPONSE_MARGIN_S = 0.15
 # RFC 9110 requires this header in a 401 response.
@@ -154,6 +156,7 @@
         text = f"the job takes {len(value)} bytes of {node.settings.row_bytes} at most"
         refuse(call, 413, BAD_REQUEST, text, retry_s=0)
         return
+    call.held_bytes = 2 * len(value) + STEP_BYTES * len(spec.steps)
     node.peer_state.payloads.add(spec.id, spec.payload)
     store_job(
         node,
--- a/cornelward/node_status.py
+++ b/cornelward/node_status.py
@@ -84,6 +84,14 @@
                 "loop_lag_seconds",
                 "How late the periodic work ran at most since the last scrape.",
             ),
+            (
+                "caller_connections",
+                "Open connections of callers.",
+            ),
+            (
+                "buffered_bytes",
+                "Memory that connections take, of the budget for all of them.",
+            ),
             ("leads", "1 while this node is the leader, else 0."),
             (
                 "leader_token",
@@ -161,6 +169,9 @@
     gauges["config_feed_age_seconds"].set(node_config.feed_age_s(node))
     gauges["loop_lag_seconds"].set(node.longest_lag_s)
     node.longest_lag_s = 0.0
+    callers = node.deps.callers
+    gauges["caller_connections"].set(callers.open_connections())
+    gauges["buffered_bytes"].set(callers.buffered_bytes())
     gauges["leads"].set(dispatcher is not None)
     gauges["leader_token"].set(node.leader.token if dispatcher else 0)
     gauges["jobs"].set(len(dispatcher.jobs) if dispatcher else 0)
--- a/cornelward/platform/compose.py
+++ b/cornelward/platform/compose.py
@@ -8,6 +8,7 @@
 from .. import node as shell
 from .. import node_cancels, node_job_states, node_jobs, node_leader, node_requests
 from ..http_client import HttpClient
+from ..http_memory import MemoryBudget, buffered_bytes
 from ..http_server import HttpServer
 from ..leadership import step_down
 from ..loop import Loop
@@ -100,20 +101,24 @@
         lambda envelope: on_message(holder[0], envelope),
         lambda address: on_silent_way(holder[0], address),
     )
+    budget = MemoryBudget(buffered_bytes(settings.memory_mb))
     callers = HttpServer(
         loop,
         _parse_address(settings.caller_address),
         lambda call: node_jobs.handle_request(holder[0], call),
+        budget=budget,
     )
     HttpServer(
         loop,
         _parse_address(settings.ready_address),
         lambda call: _answer_ready(holder[0], call),
+        budget=budget,
     )
     HttpServer(
         loop,
         _parse_address(settings.status_address),
         lambda call: serve_status(holder[0], call),
+        budget=budget,
     )
     health = StoreHealth()
 
--- a/cornelward/platform/settings.py
+++ b/cornelward/platform/settings.py
@@ -31,6 +31,8 @@
     link_mbps: float
     # Time between SIGTERM and SIGKILL.
     grace_s: float
+    # Memory of the process.
+    memory_mb: float = 300.0
     # Whether callers compete for too little room, so that jobs are delayed, refused or
     # stopped by what that costs callers.
     overload_control: bool = False
@@ -76,6 +78,7 @@
         cores=float(limits["cpu_share"]) * limits["cores"],
         link_mbps=float(limits["link_mbps"]),
         grace_s=float(bounds["grace_s"]),
+        memory_mb=float(limits.get("memory_mb", 300.0)),
         overload_control="pressure" in raw.get("contracts", ()),
         cap_overage=float(bounds.get("quota_overage", 0.0)),
         config_apply_s=float(bounds.get("config_apply_ms", 4_000)) / 1000,
--- a/standins/cell_worker.py
+++ b/standins/cell_worker.py
@@ -112,7 +112,7 @@
         self.register()
 
     def _close_connections(self):
-        for sock in list(self.server.http.connections):
+        for sock in list(self.server.conns.by_sock):
             self.server.server.close(sock)
 
     def register(self, state="ready"):
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -148,10 +148,10 @@
         assert_that(status(cluster, node, "GET", key="k-bolt"), Equals(410))
     cluster.platform.configure(2, [ROUTE], {"acme": KEYS["acme"]})
     cluster.wait(lambda: all(n.config.version == 2 for n in cluster.nodes))
-    opened = set(node.deps.callers.http.connections)
+    opened = set(node.deps.callers.conns.by_sock)
     assert_that(status(cluster, node, "GET", key="k-bolt"), Equals(401))
     assert_that(
-        (opened, set(node.deps.callers.http.connections)), Equals((opened, opened))
+        (opened, set(node.deps.callers.conns.by_sock)), Equals((opened, opened))
     )
     # Neither log nor metrics nor the state dump hold a key.
     assert_that(str(logged), Contains("key_withdrawn"))
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,9 +6,10 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, HasLength, Not, StartsWith
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength, Not, StartsWith
 
 from cornelward.http_client import HttpClient
+from cornelward.http_memory import DEFAULT_BUFFERED_BYTES, MemoryBudget
 from cornelward.http_server import HttpLimits, HttpServer
 from cornelward.loop import Loop
 
@@ -108,8 +109,9 @@
 class ServerHarness:
     """A server that collects calls in ``calls`` until the test responds to them."""
 
-    def __init__(self, **limits):
+    def __init__(self, budget_bytes=DEFAULT_BUFFERED_BYTES, **limits):
         self.loop = Loop()
+        self.budget = MemoryBudget(budget_bytes)
         self.calls = []
         self.handle = self.calls.append
         self.server = HttpServer(
@@ -117,6 +119,7 @@
             ("127.0.0.1", 0),
             lambda call: self.handle(call),
             HttpLimits(**limits),
+            self.budget,
         )
         self.callers = []
         # ``tick`` does nothing before the loop is started.
@@ -310,7 +313,7 @@
         if len(closed) % 2:
             # The response and the end of the connection fall into one iteration.
             echo(harness.calls[-1])
-        harness.until(lambda: not harness.server.http.connections)
+        harness.until(lambda: not harness.server.conns.by_sock)
         echo(harness.calls.pop())
     harness.loop.run_until(lambda: False, 0.05)
     server = harness.server.server
@@ -330,8 +333,8 @@
             break
         harness.loop.tick(0.0)
         harness.loop.tick(0.0)
-    conn = next(iter(harness.server.http.connections))
-    assert harness.server.http._buffered(conn) < 1_000_000
+    conn = next(iter(harness.server.conns.by_sock))
+    assert harness.server.conns.buffered(conn) < 1_000_000
     caller.until(lambda: len(caller.answers()) >= 30)
 
 
@@ -354,3 +357,138 @@
     caller.until(lambda: caller.poll().closed)
     assert_that(caller.answers(), Equals(PAIR_ANSWERS))
     assert_that(harness.server.is_drained(), Equals(True))
+
+
+def unfinished(size):
+    """Return a request that lacks the last byte of a body of ``size`` bytes."""
+    return post("/unfinished", b"a" * size)[:-1]
+
+
+def test_unfinished_requests_together_stay_within_the_budget():
+    # Guards against memory that grows with the number of connections.
+    harness = ServerHarness(100_000)
+    callers = [harness.connect() for _ in range(20)]
+    for caller in callers:
+        caller.send(unfinished(20_000))
+        harness.loop.run_until(lambda: False, 0.01)
+    assert harness.budget.used_bytes <= 100_000
+    refused = [c for c in callers if c.answers()]
+    assert_that(len(refused), GreaterThan(14))
+    status, body = refused[0].answers()[0]
+    assert_that(status, Equals(503))
+    assert_that(body, Contains(b'"verdict":"NOT_RUN"'))
+    assert_that(refused[0].received, Contains(b"Retry-After: 1"))
+    harness.handle = echo
+    ordinary = harness.connect()
+    ordinary.send(post("/a", b"one"))
+    ordinary.until(lambda: ordinary.answers() == PAIR_ANSWERS[:1])
+    harness.close()
+
+
+def test_request_is_refused_while_handled_ones_take_all_memory():
+    harness = ServerHarness(100_000)
+    first, second = harness.connect(), harness.connect()
+    first.send(post("/a", b"a" * 60_000))
+    harness.until(lambda: harness.calls)
+    second.send(post("/b", b"two"))
+    second.until(lambda: second.answers())
+    assert_that(second.answers()[0][0], Equals(503))
+    echo(harness.calls[0])
+    first.until(lambda: first.answers())
+    assert_that(first.answers()[0][0], Equals(200))
+    third = harness.connect()
+    harness.handle = echo
+    third.send(post("/b", b"two"))
+    third.until(lambda: third.answers() == PAIR_ANSWERS[1:])
+    harness.close()
+
+
+def test_memory_of_a_handler_counts_until_the_response():
+    harness = ServerHarness(100_000)
+    caller = harness.connect()
+    caller.send(post("/a", b"one"))
+    harness.until(lambda: harness.calls)
+    before = harness.budget.used_bytes
+    harness.calls[0].held_bytes = 50_000
+    harness.server.conns.account(*harness.server.conns.by_sock.values())
+    assert_that(harness.budget.used_bytes, Equals(before + 50_000))
+    echo(harness.calls[0])
+    caller.until(lambda: caller.answers() == PAIR_ANSWERS[:1])
+    assert_that(harness.budget.used_bytes, Equals(0))
+    harness.close()
+
+
+def test_memory_of_a_handler_counts_after_its_caller_has_left():
+    # Guards against callers that submit and leave, again and again.
+    harness = ServerHarness(100_000)
+
+    def keep(call):
+        call.held_bytes = 60_000
+        harness.calls.append(call)
+
+    harness.handle = keep
+    for count in (1, 2):
+        caller = harness.connect()
+        caller.send(post("/a", b"one"))
+        harness.until(lambda count=count: len(harness.calls) == count)
+        caller.sock.close()
+        harness.until(lambda: not harness.server.conns.by_sock)
+    late = harness.connect()
+    late.send(post("/a", b"one"))
+    late.until(lambda: late.answers())
+    assert_that(late.answers()[0][0], Equals(503))
+    late.until(lambda: late.poll().closed)
+    for call in harness.calls:
+        echo(call)
+    assert_that(harness.budget.used_bytes, Equals(0))
+    harness.close()
+
+
+def test_request_in_hand_is_answered_though_the_next_one_is_given_up():
+    harness = ServerHarness(100_000)
+    caller, other = harness.connect(), harness.connect()
+    caller.send(post("/a", b"one") + unfinished(60_000))
+    harness.until(lambda: harness.budget.used_bytes > 60_000)
+    other.send(unfinished(50_000))
+    harness.until(lambda: harness.budget.used_bytes < 60_000)
+    echo(harness.calls[0])
+    caller.until(lambda: caller.poll().closed)
+    assert_that(caller.answers(), Equals(PAIR_ANSWERS[:1]))
+    harness.close()
+
+
+def test_caller_that_reads_nothing_is_cut_off():
+    # Guards against a connection that is kept for ever by an unread response.
+    harness = ServerHarness(idle_timeout_s=0.3)
+    harness.handle = lambda call: call.answer(
+        200, b"a" * 8_000_000, headers=[("Connection", "close")]
+    )
+    caller = harness.connect()
+    caller.send(post("/a", b"one"))
+    harness.until(lambda: harness.server.conns.by_sock)
+    harness.until(lambda: not harness.server.conns.by_sock)
+    assert_that(harness.budget.used_bytes, Equals(0))
+    assert_that(harness.server.server._closeq, HasLength(0))
+    harness.close()
+
+
+def test_unread_responses_are_given_up_for_memory():
+    harness = ServerHarness(1_000_000)
+    harness.handle = lambda call: call.answer(200, b"a" * 8_000_000)
+    reader = harness.connect()
+    reader.send(post("/a", b"one"))
+    harness.until(lambda: harness.server.conns.by_sock)
+    harness.until(lambda: not harness.server.conns.by_sock)
+    assert_that(harness.budget.used_bytes, Equals(0))
+    harness.close()
+
+
+def test_empty_lines_do_not_keep_a_connection_open(harness):
+    caller = harness.connect()
+    for _ in range(400):
+        if caller.poll().closed:
+            break
+        caller.send(b"\r\n")
+        harness.loop.run_until(lambda: False, 0.01)
+    caller.until(lambda: caller.poll().closed)
+    assert_that(harness.calls, HasLength(0))
