Keep places and descriptors for ordinary callers and for the node itself

What callers saw: while 3,000 connections sent one byte, 1 of 23 ordinary requests was answered; a node had none of its descriptors left for the store, workers and other nodes.

Cause: at the limit a new connection was closed, and one that never sends a request kept its place until its timeout. max_fds was not read. circuits accepts one connection an iteration, and turns without a pause at EMFILE.

Change: a new connection takes the place of the one that has sent no whole request for longest, then of an idle one; with all in hand it gets 503. Callers get half of the descriptors that are not for files. Connections are accepted in batches; without descriptors one is closed, or accepting pauses.

--- a/cornelward/http_connections.py
+++ b/cornelward/http_connections.py
@@ -6,7 +6,7 @@
 from .errors import BAD_REQUEST, OVERLOADED
 from .http_call import JSON, error_body
 from .http_framing import RequestFramer
-from .http_memory import NOTHING, Held
+from .http_memory import NOTHING, Held, connection_to_replace
 from .log import get_logger
 from .verdicts import Verdict
 
@@ -24,14 +24,14 @@
 REASON_PHRASES = {400: "Bad Request", 408: "Request Timeout", 413: "Content Too Large"}
 REASON_PHRASES |= {431: "Request Header Fields Too Large", 503: "Service Unavailable"}
 # Why connections were given up, as the log says.
-MEMORY, UNREAD = "memory", "responses_not_read"
+MEMORY, PLACES, UNREAD = "memory", "places", "responses_not_read"
 
 
 class Connection:
     """State of one accepted connection.
 
     ``call`` is the request that is handled, ``call_bytes`` the memory that it takes.
-    ``unsent`` is (bytes of responses that the
+    ``served`` counts the requests handled, ``unsent`` is (bytes of responses that the
     socket has not accepted, since when they have been as many). ``is_closing`` is True
     while further input is discarded.
     """
@@ -45,6 +45,7 @@
         "last_active_at",
         "owner",
         "paused",
+        "served",
         "sock",
         "unsent",
     )
@@ -59,6 +60,7 @@
         self.is_closing = False
         self.last_active_at = now
         self.paused = False
+        self.served = 0
         self.unsent = (0, now)
 
     def _send_continue(self):
@@ -94,12 +96,29 @@
         self._given_up = collections.Counter()
 
     def open(self, sock):
-        """Add a connection, or close it if there are too many."""
-        if len(self.by_sock) >= self.limits.max_connections:
+        """Add a connection; if there are too many, another or this one is closed."""
+        limit = self.limits.max_connections
+        if len(self.by_sock) >= limit and not self.make_room():
+            self._given_up[PLACES] += 1
+            self.reject(sock, 503, "too many connections", OVERLOADED)
             self.close(sock)
             return
         self.by_sock[sock] = Connection(self, sock, time.monotonic())
 
+    def make_room(self):
+        """Close the connection that needs its place least, at once.
+
+        Returns whether there was one.
+        """
+        conn = connection_to_replace(self.by_sock.values())
+        if conn is None:
+            return False
+        self._given_up[PLACES] += 1
+        if conn.is_receiving:
+            self.reject(conn.sock, 503, "too many connections", OVERLOADED)
+        self._drop(conn)
+        return True
+
     def forget(self, sock):
         """Remove a connection that is closed, and tell its handler."""
         conn = self.by_sock.pop(sock, None)
--- a/cornelward/http_listener.py
+++ b/cornelward/http_listener.py
@@ -1,8 +1,12 @@
 """Listening socket of an HTTP server, and the reads from its connections.
 
-circuits reads from all connections before any of the data is handled.
+circuits accepts one connection in each iteration of the loop, and leaves the listening
+socket readable, without a pause or a log line, once the process has no descriptors. It
+reads from all connections before any of the data is handled.
 """
 
+import errno
+
 from circuits.net.sockets import TCPServer
 
 from .log import get_logger
@@ -12,21 +16,54 @@
 
 log = get_logger("http_listener")
 
+# Connections accepted in one iteration of the loop.
+ACCEPT_BATCH = 32
 # Bytes read from a connection at a time. Parsing them delays all other connections.
 READ_BYTES = 16_384
+# Accepting pauses for this long if the process can open no more descriptors.
+PAUSE_S = 0.2
+NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class Listener(TCPServer):
     """The TCP server of circuits, with sets instead of lists of sockets.
 
-    ``on_data(sock, data)`` is called for what arrives.
+    ``on_data(sock, data)`` is called for what arrives. ``make_room()`` closes a
+    connection and returns whether there was one to close.
     """
 
-    def __init__(self, bind, channel, on_data):
+    def __init__(self, loop, bind, channel, on_data, make_room):
         super().__init__(bind, channel=channel, bufsize=READ_BYTES)
         self._clients = DescriptorSet()
         self._closeq = DescriptorSet()
+        self._loop = loop
         self._on_data = on_data
+        self._make_room = make_room
+        self._pausing = False
+
+    def _accept(self):
+        for _ in range(ACCEPT_BATCH):
+            if self._sock is None or not self._accept_one():
+                return
+
+    def _accept_one(self):
+        """Accept a connection; return whether another one may be waiting."""
+        try:
+            sock, _ = self._sock.accept()
+        except BlockingIOError:
+            return False
+        except OSError as exc:
+            if exc.errno not in NO_DESCRIPTORS:
+                # The caller left, or a packet filter refused the connection.
+                log("debug", "accept_failed", reason=str(exc))
+                return True
+            if self._make_room():
+                return True
+            log("warning", "accept_paused", reason=str(exc))
+            self._pause()
+            return False
+        self._on_accept_done(sock)
+        return True
 
     def _read(self, sock):
         if sock not in self._clients:
@@ -48,3 +85,14 @@
         super()._close(sock)
         # circuits keeps a socket that was to be closed once its responses are sent.
         self._closeq.discard(sock)
+
+    def _pause(self):
+        if not self._pausing:
+            self._pausing = True
+            self._poller.removeReader(self._sock)
+            self._loop.call_later(PAUSE_S, self._resume)
+
+    def _resume(self):
+        self._pausing = False
+        if self._sock is not None:
+            self._poller.addReader(self, self._sock)
--- a/cornelward/http_memory.py
+++ b/cornelward/http_memory.py
@@ -1,4 +1,4 @@
-"""Core: the memory that connections to a process may take.
+"""Core: the memory and descriptors that connections to a process may take.
 
 All connections of a process share one budget of bytes, whatever their number: for
 requests that are incomplete, that wait or are handled, and for unsent responses. Beyond
@@ -15,11 +15,18 @@
     "Held",
     "MemoryBudget",
     "buffered_bytes",
+    "caller_connections",
+    "connection_to_replace",
 ]
 
 DEFAULT_BUFFERED_BYTES = 33_554_432
 # Part of an instance's memory that connections may take.
 BUFFERED_PART = 1 / 8
+# Descriptors of a process that are no sockets, and the part of the others that callers
+# may take: the rest is for the store, workers and other nodes.
+FILE_DESCRIPTORS = 200
+CALLERS_PART = 1 / 2
+MAX_CALLER_CONNECTIONS = 2_000
 # Giving up connections stops at this part of the budget, as each time looks at all.
 SHED_TO_PART = 7 / 8
 # A connection with less is not given up: that would make no room.
@@ -31,6 +38,12 @@
     return int(memory_mb * 1_048_576 * BUFFERED_PART)
 
 
+def caller_connections(max_fds):
+    """Return how many connections of callers an instance may have open."""
+    room = int((max_fds - FILE_DESCRIPTORS) * CALLERS_PART)
+    return max(1, min(MAX_CALLER_CONNECTIONS, room))
+
+
 class Held(NamedTuple):
     """Bytes that a connection takes.
 
@@ -91,3 +104,21 @@
                 conn.give_up()
         finally:
             self._is_shedding = False
+
+
+def connection_to_replace(conns):
+    """Return the connection whose place a new one gets, or None.
+
+    ``conns`` have ``is_closing``, ``is_busy``, ``served`` (requests completed),
+    ``is_receiving`` and ``last_active_at``. A connection without a whole request so far
+    or with an incomplete one goes before one that is idle between requests.
+    """
+    found, lowest = None, None
+    for conn in conns:
+        if conn.is_busy:
+            continue
+        is_idle = conn.served and not conn.is_receiving
+        rank = (not conn.is_closing, is_idle, conn.last_active_at)
+        if lowest is None or rank < lowest:
+            found, lowest = conn, rank
+    return found
--- a/cornelward/http_server.py
+++ b/cornelward/http_server.py
@@ -102,6 +102,7 @@
             self.conns.reject_for_memory(conn)
             return
         framed = conn.framer.requests.pop(0)
+        conn.served += 1
         # The handler passes on a copy of the body.
         conn.call_bytes = framed.size + len(framed.body)
         req = _FramedRequest(conn.sock, framed.method, self._server)
@@ -216,9 +217,11 @@
         channel = f"web{next(_channel_numbers)}"
         super().__init__(channel=channel)
         self.server = Listener(
+            loop,
             bind,
             channel,
             lambda sock, data: self.http.on_data(sock, data),
+            lambda: self.conns.make_room(),
         )
         self.server.register(self)
         self.conns = Connections(
--- a/cornelward/platform/compose.py
+++ b/cornelward/platform/compose.py
@@ -8,8 +8,8 @@
 from .. import node as shell
 from .. import node_cancels, node_job_states, node_jobs, node_leader, node_requests
 from ..http_client import HttpClient
-from ..http_memory import MemoryBudget, buffered_bytes
-from ..http_server import HttpServer
+from ..http_memory import MemoryBudget, buffered_bytes, caller_connections
+from ..http_server import HttpLimits, HttpServer
 from ..leadership import step_down
 from ..loop import Loop
 from ..node_messages import on_message, on_silent_way
@@ -33,6 +33,8 @@
 # A worker takes a bounded number of connections, and any node may carry out starts on
 # it: connections for these are closed when they were not used for this long.
 RELAY_UNUSED_S = 1.5
+# Connections of the load balancer, and of operators.
+MAX_OWN_CONNECTIONS = 32
 
 
 class NodeDependencies(NamedTuple):
@@ -106,19 +108,23 @@
         loop,
         _parse_address(settings.caller_address),
         lambda call: node_jobs.handle_request(holder[0], call),
-        budget=budget,
+        HttpLimits(max_connections=caller_connections(settings.max_fds)),
+        budget,
     )
+    own_limits = HttpLimits(max_connections=MAX_OWN_CONNECTIONS)
     HttpServer(
         loop,
         _parse_address(settings.ready_address),
         lambda call: _answer_ready(holder[0], call),
-        budget=budget,
+        own_limits,
+        budget,
     )
     HttpServer(
         loop,
         _parse_address(settings.status_address),
         lambda call: serve_status(holder[0], call),
-        budget=budget,
+        own_limits,
+        budget,
     )
     health = StoreHealth()
 
--- a/cornelward/platform/settings.py
+++ b/cornelward/platform/settings.py
@@ -31,8 +31,9 @@
     link_mbps: float
     # Time between SIGTERM and SIGKILL.
     grace_s: float
-    # Memory of the process.
+    # Memory and descriptors of the process.
     memory_mb: float = 300.0
+    max_fds: int = 4_200
     # Whether callers compete for too little room, so that jobs are delayed, refused or
     # stopped by what that costs callers.
     overload_control: bool = False
@@ -79,6 +80,7 @@
         link_mbps=float(limits["link_mbps"]),
         grace_s=float(bounds["grace_s"]),
         memory_mb=float(limits.get("memory_mb", 300.0)),
+        max_fds=int(limits.get("max_fds", 4_200)),
         overload_control="pressure" in raw.get("contracts", ()),
         cap_overage=float(bounds.get("quota_overage", 0.0)),
         config_apply_s=float(bounds.get("config_apply_ms", 4_000)) / 1000,
--- a/tests/test_http_memory.py
+++ b/tests/test_http_memory.py
@@ -1,5 +1,7 @@
 """Guards against connections that together take more than a process may have."""
 
+from types import SimpleNamespace
+
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
@@ -9,6 +11,8 @@
     Held,
     MemoryBudget,
     buffered_bytes,
+    caller_connections,
+    connection_to_replace,
 )
 
 
@@ -70,7 +74,43 @@
     assert_that(budget.used_bytes, Equals(0))
 
 
+def conn(active_at, busy=False, receiving=False, served=0, closing=False):
+    return SimpleNamespace(
+        is_busy=busy,
+        is_receiving=receiving,
+        served=served,
+        is_closing=closing,
+        last_active_at=active_at,
+    )
+
+
+@pytest.mark.parametrize(
+    ("conns", "expected"),
+    [
+        ([], None),
+        ([conn(1, busy=True)], None),
+        ([conn(2), conn(1)], 1),
+        ([conn(1, served=1), conn(2, receiving=True)], 1),
+        ([conn(1, served=1), conn(2)], 1),
+        ([conn(1, served=1), conn(2, served=3, receiving=True)], 1),
+        ([conn(2, served=1), conn(1, served=1), conn(0, busy=True)], 1),
+        ([conn(1, receiving=True), conn(2, closing=True)], 1),
+    ],
+)
+def test_new_connection_replaces_the_one_unfinished_for_longest(conns, expected):
+    found = connection_to_replace(conns)
+    assert_that(found, Equals(None if expected is None else conns[expected]))
+
+
 @pytest.mark.parametrize("memory_mb", [160, 200, 300, 552])
 def test_smallest_instance_has_room_for_many_of_the_largest_legal_bodies(memory_mb):
     assert buffered_bytes(memory_mb) >= 64 * 262_144
     assert buffered_bytes(memory_mb) <= memory_mb * 1_048_576 // 8
+
+
+@pytest.mark.parametrize(
+    ("max_fds", "expected"),
+    [(10_250, 2_000), (4_200, 2_000), (3_075, 1_437), (1_638, 719), (100, 1)],
+)
+def test_callers_leave_descriptors_to_the_store_and_other_nodes(max_fds, expected):
+    assert_that(caller_connections(max_fds), Equals(expected))
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,6 @@
 """Guards the HTTP server against mixed-up, incomplete and unbounded exchanges."""
 
+import errno
 import random
 import re
 import socket
@@ -8,6 +9,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, Not, StartsWith
 
+from cornelward import http_listener
 from cornelward.http_client import HttpClient
 from cornelward.http_memory import DEFAULT_BUFFERED_BYTES, MemoryBudget
 from cornelward.http_server import HttpLimits, HttpServer
@@ -483,6 +485,70 @@
     harness.close()
 
 
+def test_ordinary_caller_gets_the_place_of_an_unfinished_connection():
+    # Guards against unfinished connections that shut out all others.
+    harness = ServerHarness(max_connections=5)
+    harness.handle = echo
+    idle = harness.connect()
+    idle.send(post("/a", b"one"))
+    idle.until(lambda: idle.answers() == PAIR_ANSWERS[:1])
+    crowd = []
+    for number in range(30):
+        crowd.append(harness.connect())
+        if number % 2:
+            crowd[-1].send(b"P")
+        harness.loop.run_until(lambda: False, 0.01)
+    ordinary = harness.connect()
+    ordinary.send(post("/b", b"two"))
+    ordinary.until(lambda: ordinary.answers() == PAIR_ANSWERS[1:])
+    assert_that(idle.poll().closed, Equals(False))
+    assert_that(len(harness.server.conns.by_sock), Equals(5))
+    harness.close()
+
+
+def test_connection_is_refused_if_all_others_have_a_request_in_hand():
+    harness = ServerHarness(max_connections=1)
+    caller = harness.connect()
+    caller.send(post("/a", b"one"))
+    harness.until(lambda: harness.calls)
+    late = harness.connect()
+    late.until(lambda: late.poll().closed)
+    assert late.answers() == [] or late.answers()[0][0] == 503
+    echo(harness.calls[0])
+    caller.until(lambda: caller.answers() == PAIR_ANSWERS[:1])
+    harness.close()
+
+
+def test_lack_of_descriptors_loses_no_listening_socket(monkeypatch):
+    # Guards against a loop that neither accepts nor waits.
+    harness = ServerHarness()
+    harness.handle = echo
+    listener = harness.server.server
+    monkeypatch.setattr(http_listener, "PAUSE_S", 0.05)
+    real, failures = listener._sock, []
+
+    class WithoutDescriptors:
+        """The listening socket while the process can open no more descriptors."""
+
+        def __getattr__(self, name):
+            return getattr(real, name)
+
+        def accept(self):
+            if len(failures) < 3:
+                failures.append(1)
+                raise OSError(errno.EMFILE, "too many open files")
+            return real.accept()
+
+    sock = WithoutDescriptors()
+    harness.loop.poller.discard(real)
+    listener._sock = sock
+    harness.loop.poller.addReader(listener, sock)
+    caller = harness.connect()
+    caller.send(post("/a", b"one"))
+    caller.until(lambda: caller.answers() == PAIR_ANSWERS[:1])
+    harness.close()
+
+
 def test_empty_lines_do_not_keep_a_connection_open(harness):
     caller = harness.connect()
     for _ in range(400):
