Let the configuration's limits of requests take effect

What operators saw: whatever limits their configuration set, 1 MiB of body, 10 s and 60 s held. Config.limits had no reader.

Change: the limits of the version in force hold from the next request on, on open connections, too: max_header_bytes, max_body_bytes, idle_timeout_ms and header_timeout_ms, the time for the header alone; the whole request has receive_timeout_s. A limit that is odd has its default and is logged.

--- a/cornelward/compose.py
+++ b/cornelward/compose.py
@@ -86,6 +86,7 @@
         max_body_bytes=cfg["max_body_bytes"],
         max_connections=cfg["max_connections"],
         idle_timeout_s=cfg["idle_timeout_s"],
+        header_timeout_s=cfg["receive_timeout_s"],
         receive_timeout_s=cfg["receive_timeout_s"],
     )
     budget = MemoryBudget(cfg["max_buffered_bytes"])
--- a/cornelward/http_call.py
+++ b/cornelward/http_call.py
@@ -10,13 +10,18 @@
 
 
 class HttpLimits(msgspec.Struct, frozen=True):
-    """Limits of one HTTP server."""
+    """Limits of one HTTP server.
+
+    A request's header must be complete within ``header_timeout_s`` of its first byte,
+    the whole request within ``receive_timeout_s``.
+    """
 
     max_header_bytes: int = 16_384
     max_header_fields: int = 100
     max_body_bytes: int = 1_048_576
     max_connections: int = 2_000
     idle_timeout_s: float = 60.0
+    header_timeout_s: float = 10.0
     receive_timeout_s: float = 10.0
 
 
--- a/cornelward/http_connections.py
+++ b/cornelward/http_connections.py
@@ -282,7 +282,10 @@
             if inactive_s > LINGER_S:
                 self.close(conn.sock)
         elif conn.is_receiving:
-            if inactive_s > limits.receive_timeout_s:
+            limit_s = limits.receive_timeout_s
+            if not conn.framer.has_header:
+                limit_s = min(limit_s, limits.header_timeout_s)
+            if inactive_s > limit_s:
                 self.reject(conn.sock, 408, "the request was not received in time")
         elif inactive_s > limits.idle_timeout_s:
             self.close(conn.sock)
--- a/cornelward/http_server.py
+++ b/cornelward/http_server.py
@@ -10,6 +10,7 @@
 import traceback
 from http.cookies import SimpleCookie
 
+import msgspec
 from circuits import BaseComponent, handler
 from circuits.web import wrappers
 from circuits.web.events import request
@@ -245,6 +246,12 @@
         """Return the bound address as "ip:port"."""
         return f"{self.host}:{self.port}"
 
+    def set_limits(self, limits):
+        """Set the HttpLimits of further requests; ``max_connections`` stays."""
+        self.conns.limits = msgspec.structs.replace(
+            limits, max_connections=self.conns.limits.max_connections
+        )
+
     def start_draining(self):
         """Close each connection after its next response; idle connections stay open."""
         self.http.draining = True
--- a/cornelward/node_config.py
+++ b/cornelward/node_config.py
@@ -158,6 +158,7 @@
     for workspace, mark in access.withdrawn(before, cfg.keys):
         log("info", "key_withdrawn", workspace=workspace, key=mark)
     node.config, state.outgoing = cfg, document_transfer.Outgoing(value)
+    node.deps.callers.set_limits(cfg.limits)
     if state.partial is not None and state.partial.version <= cfg.version:
         state.partial = None
     config_sync.note_adopted(state.sync, cfg.version)
--- a/cornelward/platform/ingress.py
+++ b/cornelward/platform/ingress.py
@@ -63,11 +63,21 @@
     api_keys: list[str] | None = None
 
 
+# Limits of the configuration: name, field of HttpLimits, and its type.
+LIMITS = (
+    ("max_header_bytes", "max_header_bytes", int),
+    ("max_body_bytes", "max_body_bytes", int),
+    ("header_timeout_ms", "header_timeout_s", lambda ms: ms / 1000),
+    ("idle_timeout_ms", "idle_timeout_s", lambda ms: ms / 1000),
+)
+
+
 class Config(NamedTuple):
     """A configuration.
 
     ``routes`` holds (host, path prefix, Queue), those with the longest prefix first;
-    ``queues`` maps queue names to Queues, ``workspaces`` names to WorkspaceTerms.
+    ``queues`` maps queue names to Queues, ``workspaces`` names to WorkspaceTerms;
+    ``limits`` hold for callers' requests.
     ``keys`` is the table of ``access.key_table``, None without workspaces;
     ``public_queues`` are the names of the queues that need no key.
     """
@@ -98,18 +108,13 @@
         found = _decode_each("route", raw["routes"], _decode_route)
         routes = [(r.host, r.path_prefix, _queue_of(r)) for r in found]
         routes.sort(key=lambda route: -len(route[1]))
-        limits, named = raw["limits"], raw.get("tenants") or ()
+        named = raw.get("tenants") or ()
         tenants = _decode_each("tenant", named, _decode_tenant)
         return Config(
             msgspec.convert(raw["version"], Whole),
             routes,
             {queue.name: queue for _, _, queue in routes},
-            HttpLimits(
-                max_header_bytes=limits["max_header_bytes"],
-                max_body_bytes=limits["max_body_bytes"],
-                idle_timeout_s=limits["idle_timeout_ms"] / 1000,
-                receive_timeout_s=limits["header_timeout_ms"] / 1000,
-            ),
+            _decode_limits(raw["limits"]),
             {t.name: _workspace_of(t) for t in tenants},
             # Calls need keys as soon as tenants are named, also if none can be read.
             key_table((k, t.name) for t in tenants for k in t.api_keys or ())
@@ -143,6 +148,17 @@
     return found
 
 
+def _decode_limits(raw):
+    """Return the HttpLimits; one that is odd has its default."""
+    found = {}
+    for name, field, convert in LIMITS:
+        try:
+            found[field] = convert(msgspec.convert(raw[name], Number))
+        except msgspec.ValidationError as exc:
+            log("error", "item_unreadable", kind="limit", name=name, reason=str(exc))
+    return HttpLimits(**found)
+
+
 def _decode_route(raw):
     # An empty ``advice`` is none.
     fields = {
--- a/tests/test_config_parts.py
+++ b/tests/test_config_parts.py
@@ -43,7 +43,10 @@
         )
         self.deps = SimpleNamespace(
             now=lambda: self.now,
-            decode_config=lambda value: SimpleNamespace(version=int(value), keys=None),
+            decode_config=lambda value: SimpleNamespace(
+                version=int(value), keys=None, limits=None
+            ),
+            callers=SimpleNamespace(set_limits=lambda limits: None),
             set_leader_config=lambda node: self.told.append(node.config.version),
         )
         self.peers = SimpleNamespace(
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -558,3 +558,17 @@
         harness.loop.run_until(lambda: False, 0.01)
     caller.until(lambda: caller.poll().closed)
     assert_that(harness.calls, HasLength(0))
+
+
+def test_changed_limits_hold_for_open_connections():
+    harness = ServerHarness(max_connections=7)
+    harness.handle = echo
+    caller = harness.connect()
+    caller.send(post("/a", b"one"))
+    caller.until(lambda: caller.answers() == PAIR_ANSWERS[:1])
+    harness.server.set_limits(HttpLimits(max_body_bytes=2))
+    assert_that(harness.server.conns.limits.max_connections, Equals(7))
+    caller.send(post("/a", b"one"))
+    caller.until(lambda: len(caller.answers()) == 2)
+    assert_that(caller.answers()[1][0], Equals(413))
+    harness.close()
--- a/tests/test_large_config.py
+++ b/tests/test_large_config.py
@@ -94,6 +94,7 @@
         node.deps = SimpleNamespace(
             now=lambda: self.now,
             decode_config=lambda value: self._note(node, value),
+            callers=SimpleNamespace(set_limits=lambda limits: None),
             set_leader_config=lambda node: None,
         )
         node.peers = SimpleNamespace(
@@ -105,7 +106,7 @@
     def _note(self, node, value):
         version = msgspec.json.decode(value)["version"]
         self.adopted_at.setdefault((node.address, version), self.now)
-        return SimpleNamespace(version=version, keys=None)
+        return SimpleNamespace(version=version, keys=None, limits=None)
 
     def call_later(self, delay_s, function):
         heapq.heappush(self.events, (self.now + delay_s, next(self.order), function))
