Bound the time for which a call may wait

A call holds its job until the store has it or its Deadline-Ms has passed, which may name 10^12 ms. It counts for 60 s at most now.

--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -25,8 +25,9 @@
 
 log = get_logger("node_jobs")
 
-# Deadline of a request that sends no Deadline-Ms header.
+# Deadline of a request that sends no Deadline-Ms header, and the longest one.
 DEFAULT_TIMEOUT_S = 3.0
+MAX_TIMEOUT_S = 60.0
 MAX_TIMEOUT_DIGITS = 12
 # Characters of a path that a log line shows.
 MAX_PATH_CHARS = 100
@@ -131,7 +132,7 @@
     text = call.request.headers.get("deadline-ms", "")
     if not (text.isascii() and text.isdigit() and len(text) <= MAX_TIMEOUT_DIGITS):
         return DEFAULT_TIMEOUT_S
-    return int(text) / 1000
+    return min(MAX_TIMEOUT_S, int(text) / 1000)
 
 
 # Submit
