Count jobs without a payload in the cache of payloads

A node keeps the payloads of the jobs that it accepted last, up to 2 MB. A job with an empty payload counted nothing, so that its entry was never dropped: memory grew with each one. Each entry counts 200 bytes more now, and payloads by their encoded size.

Evidence: without the 200 bytes, in a scratch copy, test_kept_jobs_without_a_payload_are_bounded fails.

--- a/cornelward/start_relay.py
+++ b/cornelward/start_relay.py
@@ -14,8 +14,9 @@
 # A start through another node takes one hop more; it pays from this many bytes of
 # payload that the leader need not send.
 RELAYED_BYTES = 4_096
-# Limit on the payloads that a node keeps.
+# Limit on the payloads that a node keeps, and what each takes besides its bytes.
 MAX_PAYLOAD_BYTES = 2_000_000
+ENTRY_BYTES = 200
 
 
 def is_worth_relaying(tasks, payload_bytes):
@@ -40,7 +41,7 @@
         """Keep a payload; the oldest ones are dropped beyond the limit."""
         self._drop(job_id)
         self._by_job[job_id] = payload
-        self._bytes += len(payload)
+        self._bytes += _size_of(payload)
         while self._bytes > self._max_bytes:
             self._drop(next(iter(self._by_job)))
 
@@ -49,4 +50,11 @@
         return self._by_job.get(job_id)
 
     def _drop(self, job_id):
-        self._bytes -= len(self._by_job.pop(job_id, ""))
+        payload = self._by_job.pop(job_id, None)
+        if payload is not None:
+            self._bytes -= _size_of(payload)
+
+
+def _size_of(payload):
+    """Return the bytes that an entry takes."""
+    return len(payload.encode()) + ENTRY_BYTES
--- a/tests/test_start_relay.py
+++ b/tests/test_start_relay.py
@@ -377,6 +377,15 @@
     assert_that(is_worth_relaying(1, 100_000), Equals(False))
 
 
+def test_kept_jobs_without_a_payload_are_bounded():
+    # Guards against memory that grows with each job that is submitted.
+    payloads = Payloads(max_bytes=1_000)
+    for i in range(100):
+        payloads.add(str(i), "")
+    assert_that(payloads.get("90"), Equals(None))
+    assert_that(payloads.get("99"), Equals(""))
+
+
 def test_starts_on_one_worker_share_few_connections():
     # Each node opened a connection for each task; a worker takes 64, and those of nodes
     # that lost power stay open, so that it closed all new ones (further, LOST).
