Count a pipelined header from its own first byte

What callers saw: 431 for a legal request, if its header began in the same read as the body before it.

Cause: a read that ends with an incomplete header counted whole, also the body before it: up to 16 KiB, the default limit of a header.

Change: a read that completes a request does not count for the next header, which may be longer by one read before it is refused.

--- a/cornelward/http_framing.py
+++ b/cornelward/http_framing.py
@@ -65,6 +65,8 @@
         self._parser = httptools.HttpRequestParser(self)
         # Bytes since the parser last reported a begin, a part of a body or an end.
         self._silent_bytes = 0
+        # Whether the bytes fed last complete a request, and may begin another one.
+        self._has_completed = False
         self._reset()
 
     @property
@@ -93,6 +95,7 @@
         Raises FramingError; the connection must then be closed.
         """
         self._silent_bytes += len(data)
+        self._has_completed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
@@ -111,7 +114,8 @@
             # The parser buffers an incomplete header field without a callback, so the
             # received bytes are counted here. They are counted only while the header
             # is incomplete, as bytes that come after it may belong to the body.
-            self._unparsed_bytes += size
+            if not self._has_completed:
+                self._unparsed_bytes += size
             if self._unparsed_bytes > max_header_bytes:
                 raise FramingError(431, "the request header is too large")
         elif self._silent_bytes > max_header_bytes:
@@ -184,6 +188,7 @@
         except httptools.HttpParserInvalidURLError:
             raise FramingError(400, "malformed request target") from None
         self.receiving = False
+        self._has_completed = True
         self._silent_bytes = self._unparsed_bytes = 0
         self.requests.append(
             HttpRequest(
