Leave no closed socket in the poller or in circuits' buffers

What it led to: a socket and its bytes kept for ever for each caller that resets its connection with requests waiting or a response unsent, and a loop that turns without a pause while a half-closed caller reads nothing (13,000 reads in 0.3 s).

Cause: reading was resumed on a closed socket; circuits makes a buffer for a socket that was closed in the same iteration; the end of the input stays readable until the responses are sent.

Change: a closed socket is neither resumed nor written to, and a connection is not read after the end of its input.

--- a/cornelward/http_connections.py
+++ b/cornelward/http_connections.py
@@ -190,6 +190,8 @@
         )
         if waiting == conn.paused or conn.sock not in self.by_sock:
             return
+        if conn.sock.fileno() < 0:
+            return
         conn.paused = waiting
         poller = self._server._poller
         if waiting:
--- a/cornelward/http_listener.py
+++ b/cornelward/http_listener.py
@@ -7,6 +7,7 @@
 
 import errno
 
+from circuits import handler
 from circuits.net.sockets import TCPServer
 
 from .log import get_logger
@@ -79,8 +80,16 @@
         if data:
             self._on_data(sock, data)
         else:
+            # The end of the input stays readable until the responses are sent.
+            self._poller.removeReader(sock)
             self.close(sock)
 
+    @handler("_write", priority=1, override=True)
+    def _on_write(self, sock):
+        # circuits would make a buffer for a socket that was closed in this iteration.
+        if sock in self._clients:
+            super()._on_write(sock)
+
     def _close(self, sock):
         super()._close(sock)
         # circuits keeps a socket that was to be closed once its responses are sent.
