--- a/cornelward/compose.py
+++ b/cornelward/compose.py
@@ -14,7 +14,7 @@
 from .entry_metrics import add_entry_collector
 from .errors import START_FAILED, CornelwardError
 from .http_client import HttpClient
-from .http_memory import MemoryBudget
+from .http_memory import MemoryBudget, least_buffered_bytes
 from .http_server import HttpLimits, HttpServer
 from .identity import Identity
 from .loop import Loop
@@ -89,7 +89,8 @@
         header_timeout_s=cfg["receive_timeout_s"],
         receive_timeout_s=cfg["receive_timeout_s"],
     )
-    budget = MemoryBudget(cfg["max_buffered_bytes"])
+    least = least_buffered_bytes(cfg["max_body_bytes"])
+    budget = MemoryBudget(max(cfg["max_buffered_bytes"], least))
     try:
         return HttpServer(
             loop, parse_address(cfg["http_address"]), handle, limits, budget
--- a/cornelward/http_call.py
+++ b/cornelward/http_call.py
@@ -39,16 +39,18 @@
 
     ``request`` is an HttpRequest. ``on_closed()`` is called if the connection closes
     before the response is sent; ``closed`` is then True. ``held_bytes`` is the memory
-    that the handler takes for the request until it answers, also if the connection is
-    closed; ``on_released()`` is called then.
+    that the handler takes for the request; ``on_held(size)`` is called if it changes,
+    ``on_released()`` once the handler answers a call that is closed.
     """
 
     __slots__ = (
+        "__weakref__",
         "_finish",
         "answered",
         "closed",
         "held_bytes",
         "on_closed",
+        "on_held",
         "on_released",
         "request",
     )
@@ -59,9 +61,16 @@
         self.closed = False
         self.on_closed = None
         self.held_bytes = 0
+        self.on_held = None
         self.on_released = None
         self._finish = finish
 
+    def hold(self, size):
+        """Set the memory in bytes that the handler takes, beyond the request itself."""
+        self.held_bytes = size
+        if self.on_held is not None:
+            self.on_held(size)
+
     def answer(self, status, body=b"", content_type=JSON, headers=()):
         """Send the response, unless one was sent before or the connection is closed.
 
--- a/cornelward/http_connections.py
+++ b/cornelward/http_connections.py
@@ -2,11 +2,13 @@
 
 import collections
 import time
+import weakref
 
 from .errors import BAD_REQUEST, OVERLOADED
 from .http_call import JSON, error_body
 from .http_framing import RequestFramer
-from .http_memory import NOTHING, Held, connection_to_replace
+from .http_listener import RECEIVE_BUFFER_BYTES
+from .http_memory import MIN_SHED_BYTES, NOTHING, Held, connection_to_replace
 from .log import get_logger
 from .verdicts import Verdict
 
@@ -110,7 +112,11 @@
 
         Returns whether there was one.
         """
-        conn = connection_to_replace(self.by_sock.values())
+        conns = self.by_sock.values()
+        # A response that is being sent is cut off only if nothing else makes room.
+        conn = connection_to_replace(
+            [conn for conn in conns if not self.buffered(conn.sock)]
+        ) or connection_to_replace(conns)
         if conn is None:
             return False
         self._given_up[PLACES] += 1
@@ -129,8 +135,12 @@
             budget.set_held(conn, NOTHING)
             return
         # Its handler may go on, as the caller sends the request again.
-        budget.set_held(conn, Held(0, call.held_bytes))
+        conn.call, size = None, conn.call_bytes
+        budget.set_held(conn, Held(0, size + call.held_bytes))
+        call.on_held = lambda held: budget.set_held(conn, Held(0, size + held))
         call.on_released = lambda: budget.set_held(conn, NOTHING)
+        # A handler may drop the call without a response.
+        weakref.finalize(call, call.on_released).atexit = False
         call.closed = True
         if call.on_closed is not None:
             call.on_closed()
@@ -150,6 +160,8 @@
         if conn.call is not None:
             taken += conn.call_bytes + conn.call.held_bytes
         loose = conn.framer.unfinished_bytes + self.buffered(conn.sock)
+        if conn.paused:
+            loose += RECEIVE_BUFFER_BYTES
         self.budget.set_held(conn, Held(loose, taken))
         self.budget.shed()
 
@@ -164,9 +176,13 @@
 
     def give_up(self, conn):
         """Release what a connection holds of a request or of unread responses."""
-        if conn.is_closing or self.buffered(conn.sock):
+        is_unread = self.buffered(conn.sock) >= MIN_SHED_BYTES
+        if conn.is_closing or conn.paused or is_unread:
             self._given_up[MEMORY] += 1
             self._drop(conn)
+        elif not conn.is_receiving:
+            # The caller has read its responses since the last account.
+            self.account(conn)
         elif conn.is_busy:
             # The response to what came before announces that the connection closes.
             self._given_up[MEMORY] += 1
@@ -264,7 +280,7 @@
     def close_idle(self):
         """Close the connections on which no request is being received or handled."""
         for conn in list(self.by_sock.values()):
-            if conn.call is None and not conn.is_receiving:
+            if not conn.is_busy and not conn.is_receiving:
                 conn.close_after = True
                 self.close(conn.sock)
 
@@ -272,6 +288,8 @@
         """Close the connection if its caller has long read nothing of a response."""
         size = self.buffered(conn.sock)
         if size != conn.unsent[0] or not size:
+            if size != conn.unsent[0]:
+                self.account(conn)
             conn.unsent = (size, now)
         elif now - conn.unsent[1] > self.limits.idle_timeout_s:
             self._given_up[UNREAD] += 1
@@ -289,7 +307,7 @@
                 limit_s = min(limit_s, limits.header_timeout_s)
             if inactive_s > limit_s:
                 self.reject(conn.sock, 408, "the request was not received in time")
-        elif inactive_s > limits.idle_timeout_s:
+        elif inactive_s > limits.idle_timeout_s and not self.buffered(conn.sock):
             self.close(conn.sock)
 
     def report(self):
--- a/cornelward/http_listener.py
+++ b/cornelward/http_listener.py
@@ -6,6 +6,7 @@
 """
 
 import errno
+from socket import SO_RCVBUF, SOL_SOCKET
 
 from circuits import handler
 from circuits.net.sockets import TCPServer
@@ -13,7 +14,7 @@
 from .log import get_logger
 from .loop import DescriptorSet
 
-__all__ = ["Listener"]
+__all__ = ["RECEIVE_BUFFER_BYTES", "Listener"]
 
 log = get_logger("http_listener")
 
@@ -21,6 +22,9 @@
 ACCEPT_BATCH = 32
 # Bytes read from a connection at a time. Parsing them delays all other connections.
 READ_BYTES = 16_384
+# Bytes that the system keeps at most for a connection that is not read from. It takes
+# twice the size that is asked for.
+RECEIVE_BUFFER_BYTES = 65_536
 # Accepting pauses for this long if the process can open no more descriptors.
 PAUSE_S = 0.2
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -35,6 +39,7 @@
 
     def __init__(self, loop, bind, channel, on_data, make_room):
         super().__init__(bind, channel=channel, bufsize=READ_BYTES)
+        self._sock.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES // 2)
         self._clients = DescriptorSet()
         self._closeq = DescriptorSet()
         self._loop = loop
--- a/cornelward/http_memory.py
+++ b/cornelward/http_memory.py
@@ -11,17 +11,21 @@
 
 __all__ = [
     "DEFAULT_BUFFERED_BYTES",
+    "MIN_SHED_BYTES",
     "NOTHING",
     "Held",
     "MemoryBudget",
     "buffered_bytes",
     "caller_connections",
     "connection_to_replace",
+    "least_buffered_bytes",
 ]
 
 DEFAULT_BUFFERED_BYTES = 33_554_432
 # Part of an instance's memory that connections may take.
 BUFFERED_PART = 1 / 8
+# Times that a body is in memory while its request is handled, at most.
+BODIES = 3
 # Descriptors of a process that are no sockets, and the part of the others that callers
 # may take: the rest is for the store, workers and other nodes.
 FILE_DESCRIPTORS = 200
@@ -31,6 +35,8 @@
 SHED_TO_PART = 7 / 8
 # A connection with less is not given up: that would make no room.
 MIN_SHED_BYTES = 4_096
+# Idle connections make room for new ones while these take less than this part.
+UNFINISHED_PART = 1 / 2
 
 
 def buffered_bytes(memory_mb):
@@ -38,6 +44,11 @@
     return int(memory_mb * 1_048_576 * BUFFERED_PART)
 
 
+def least_buffered_bytes(max_body_bytes):
+    """Return the budget that a single request of the largest size needs."""
+    return BODIES * max_body_bytes
+
+
 def caller_connections(max_fds):
     """Return how many connections of callers an instance may have open."""
     room = int((max_fds - FILE_DESCRIPTORS) * CALLERS_PART)
@@ -111,14 +122,14 @@
 
     ``conns`` have ``is_closing``, ``is_busy``, ``served`` (requests completed),
     ``is_receiving`` and ``last_active_at``. A connection without a whole request so far
-    or with an incomplete one goes before one that is idle between requests.
+    or with an incomplete one goes before one that is idle between requests, unless
+    there are few of them: new callers would replace each other.
     """
-    found, lowest = None, None
-    for conn in conns:
-        if conn.is_busy:
-            continue
-        is_idle = conn.served and not conn.is_receiving
-        rank = (not conn.is_closing, is_idle, conn.last_active_at)
-        if lowest is None or rank < lowest:
-            found, lowest = conn, rank
-    return found
+    conns = [conn for conn in conns if not conn.is_busy]
+    closing = [conn for conn in conns if conn.is_closing]
+    idle = [conn for conn in conns if conn.served and not conn.is_receiving]
+    unfinished = [conn for conn in conns if not conn.served or conn.is_receiving]
+    if len(unfinished) < len(conns) * UNFINISHED_PART and idle:
+        unfinished = []
+    found = closing or unfinished or idle
+    return min(found, key=lambda conn: conn.last_active_at, default=None)
--- a/cornelward/http_server.py
+++ b/cornelward/http_server.py
@@ -22,7 +22,7 @@
 from .http_connections import MAX_BUFFERED_BYTES, Connections
 from .http_framing import FramingError
 from .http_listener import Listener
-from .http_memory import MemoryBudget
+from .http_memory import MemoryBudget, least_buffered_bytes
 from .log import get_logger
 from .verdicts import Verdict
 
@@ -33,6 +33,8 @@
 _channel_numbers = itertools.count(1)
 SWEEP_INTERVAL_S = 1.0
 CLOSE_HEADER = ("Connection", "close")
+# Characters of a path that a log line shows.
+MAX_PATH_CHARS = 100
 
 
 class _FramedRequest(wrappers.Request):
@@ -104,8 +106,7 @@
             return
         framed = conn.framer.requests.pop(0)
         conn.served += 1
-        # The handler passes on a copy of the body.
-        conn.call_bytes = framed.size + len(framed.body)
+        conn.call_bytes = framed.size
         req = _FramedRequest(conn.sock, framed.method, self._server)
         res = wrappers.Response(req)
         res.close = not framed.keep_alive
@@ -123,10 +124,12 @@
                 self._respond(res)
             except Exception as exc:
                 # Without a response, the caller would wait forever.
-                log("error", "answer_failed", path=framed.path, exc=repr(exc))
+                path = framed.path[:MAX_PATH_CHARS]
+                log("error", "answer_failed", path=path, exc=repr(exc))
                 self.conns.close(conn.sock)
 
         conn.call = Call(framed, finish)
+        conn.call.on_held = lambda held: self.conns.account(conn)
         event = request(req, res)
         # No handler listens for the three events that report the end of a request.
         event.success = event.failure = event.complete = False
@@ -145,7 +148,8 @@
             call.refuse(exc)
         except Exception:
             trace = traceback.format_exc(limit=-3)
-            log("error", "handler_failed", path=call.request.path, traceback=trace)
+            path = call.request.path[:MAX_PATH_CHARS]
+            log("error", "handler_failed", path=path, traceback=trace)
             body = error_body(INTERNAL, "internal error", Verdict.MAY_HAVE_RUN)
             call.answer(500, body)
         self.conns.account(conn)
@@ -247,7 +251,13 @@
         return f"{self.host}:{self.port}"
 
     def set_limits(self, limits):
-        """Set the HttpLimits of further requests; ``max_connections`` stays."""
+        """Set the HttpLimits of further requests; ``max_connections`` stays.
+
+        The budget grows if it has no room for one of the largest bodies.
+        """
+        budget = self.conns.budget
+        least = least_buffered_bytes(limits.max_body_bytes)
+        budget.max_bytes = max(budget.max_bytes, least)
         self.conns.limits = msgspec.structs.replace(
             limits, max_connections=self.conns.limits.max_connections
         )
@@ -266,7 +276,7 @@
     def is_drained(self):
         """Return whether no request is being received or handled and all is sent."""
         conns = self.conns.by_sock
-        if any(c.call is not None or c.is_receiving for c in conns.values()):
+        if any(c.is_busy or c.is_receiving for c in conns.values()):
             return False
         return not any(self.server._buffers.get(sock) for sock in conns)
 
--- a/cornelward/node_jobs.py
+++ b/cornelward/node_jobs.py
@@ -21,7 +21,7 @@
 from .verdicts import Verdict
 from .workspaces import cap_problem
 
-__all__ = ["handle_request"]
+__all__ = ["handle_request", "timeout_s"]
 
 log = get_logger("node_jobs")
 
@@ -128,7 +128,8 @@
         refuse(call, 405, BAD_REQUEST, "method not allowed", retry_s=0)
 
 
-def _timeout_s(call):
+def timeout_s(call):
+    """Return for how many seconds the caller waits for a response."""
     text = call.request.headers.get("deadline-ms", "")
     if not (text.isascii() and text.isdigit() and len(text) <= MAX_TIMEOUT_DIGITS):
         return DEFAULT_TIMEOUT_S
@@ -150,14 +151,14 @@
         return
     now = node.deps.now()
     spec = spec._replace(accepted_at=node.store.clock(now) or 0.0, workspace=owner)
-    deadline = now + _timeout_s(call) - RESPONSE_MARGIN_S
+    deadline = now + timeout_s(call) - RESPONSE_MARGIN_S
     value = encode_spec(spec)
     if len(value) > node.settings.row_bytes:
         # It would fail the transaction of all jobs that are stored with it.
         text = f"the job takes {len(value)} bytes of {node.settings.row_bytes} at most"
         refuse(call, 413, BAD_REQUEST, text, retry_s=0)
         return
-    call.held_bytes = 2 * len(value) + STEP_BYTES * len(spec.steps)
+    call.hold(2 * len(value) + STEP_BYTES * len(spec.steps))
     node.peer_state.payloads.add(spec.id, spec.payload)
     store_job(
         node,
--- a/cornelward/platform/compose.py
+++ b/cornelward/platform/compose.py
@@ -35,6 +35,7 @@
 RELAY_UNUSED_S = 1.5
 # Connections of the load balancer, and of operators.
 MAX_OWN_CONNECTIONS = 32
+OWN_BUFFERED_BYTES = 8_388_608
 
 
 class NodeDependencies(NamedTuple):
@@ -111,20 +112,22 @@
         HttpLimits(max_connections=caller_connections(settings.max_fds)),
         budget,
     )
+    # The load balancer and operators are answered while callers take all memory.
     own_limits = HttpLimits(max_connections=MAX_OWN_CONNECTIONS)
+    own_budget = MemoryBudget(OWN_BUFFERED_BYTES)
     HttpServer(
         loop,
         _parse_address(settings.ready_address),
         lambda call: _answer_ready(holder[0], call),
         own_limits,
-        budget,
+        own_budget,
     )
     HttpServer(
         loop,
         _parse_address(settings.status_address),
         lambda call: serve_status(holder[0], call),
         own_limits,
-        budget,
+        own_budget,
     )
     health = StoreHealth()
 
--- a/cornelward/platform/ingress.py
+++ b/cornelward/platform/ingress.py
@@ -63,6 +63,8 @@
     api_keys: list[str] | None = None
 
 
+Positive = Annotated[float, Meta(gt=0, le=MAX_AMOUNT)]
+
 # Limits of the configuration: name, field of HttpLimits, and its type.
 LIMITS = (
     ("max_header_bytes", "max_header_bytes", int),
@@ -153,7 +155,7 @@
     found = {}
     for name, field, convert in LIMITS:
         try:
-            found[field] = convert(msgspec.convert(raw[name], Number))
+            found[field] = convert(msgspec.convert(raw[name], Positive))
         except msgspec.ValidationError as exc:
             log("error", "item_unreadable", kind="limit", name=name, reason=str(exc))
     return HttpLimits(**found)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -293,6 +293,7 @@
     first, second = harness.connect(), harness.connect()
     first.send(post("/a", b"a" * 60_000))
     harness.until(lambda: harness.calls)
+    harness.calls[0].hold(60_000)
     second.send(post("/b", b"two"))
     second.until(lambda: second.answers())
     assert_that(second.answers()[0][0], Equals(503))
@@ -312,8 +313,7 @@
     caller.send(post("/a", b"one"))
     harness.until(lambda: harness.calls)
     before = harness.budget.used_bytes
-    harness.calls[0].held_bytes = 50_000
-    harness.server.conns.account(*harness.server.conns.by_sock.values())
+    harness.calls[0].hold(50_000)
     assert_that(harness.budget.used_bytes, Equals(before + 50_000))
     echo(harness.calls[0])
     caller.until(lambda: caller.answers() == PAIR_ANSWERS[:1])
--- a/tests/test_node_limits.py
+++ b/tests/test_node_limits.py
@@ -1,13 +1,21 @@
 """Limits that the operators' configuration and the settings set for callers."""
 
+from types import SimpleNamespace
+
 import msgspec
 import pytest
 from fixtures_node import ROUTE, cluster
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from cornelward import node_jobs
+from cornelward.compose import build_common_components
 from cornelward.http_call import HttpLimits
+from cornelward.http_memory import Held
+from cornelward.loop import Loop
+from cornelward.node_jobs import STEP_BYTES
 from cornelward.platform.ingress import decode_config
+from cornelward.settings import ENTRY_DEFAULTS
 
 __all__ = ["cluster"]
 
@@ -59,6 +67,80 @@
     assert_that(conns.limits.idle_timeout_s, Equals(15.0))
 
 
+def test_readiness_is_answered_while_callers_take_all_memory(cluster):
+    # Guards against a node that leaves the rotation for the load of callers.
+    cluster.start(nodes=1, workers=1)
+    node, results = cluster.nodes[0], []
+    budget = node.deps.callers.conns.budget
+    budget.set_held("all", Held(0, budget.max_bytes + 1))
+    assert_that(submit_padded(cluster, 10), Equals(503))
+    cluster.client.request(
+        node.settings.ready_address, "GET", "/readyz", results.append, timeout_s=20.0
+    )
+    cluster.wait(lambda: results)
+    assert_that(results[0].status, Equals(200))
+
+
+def test_job_that_waits_for_the_store_counts_with_its_steps(cluster):
+    # Guards against small bodies whose decoded steps take far more memory.
+    cluster.start(nodes=1, workers=1)
+    node = cluster.nodes[0]
+    cluster.platform.store.slow_s = 5.0
+    body = {"spec": "", "steps": STEPS * 200}
+    cluster.client.request(
+        node.settings.caller_address,
+        "POST",
+        f"/jobs/{JOB}",
+        lambda result: None,
+        headers=(("Host", "jobs.example"),),
+        body=msgspec.json.encode(body),
+        timeout_s=20.0,
+    )
+    budget = node.deps.callers.conns.budget
+    cluster.wait(lambda: budget.used_bytes > 200 * STEP_BYTES)
+
+
+@pytest.mark.parametrize(("text", "expected"), [("1000", 1.0), ("9" * 12, 60.0)])
+def test_deadline_of_a_call_is_bounded(text, expected):
+    # Guards against memory that a call holds for ever.
+    call = SimpleNamespace(request=SimpleNamespace(headers={"deadline-ms": text}))
+    assert_that(node_jobs.timeout_s(call), Equals(expected))
+
+
+def test_largest_body_of_the_configuration_is_served_on_a_small_budget(cluster):
+    cluster.start(nodes=1, workers=1)
+    cluster.nodes[0].deps.callers.conns.budget.max_bytes = 1_000
+    put_config(cluster, 2, max_body_bytes=1_000_000)
+    assert_that(submit_padded(cluster, 900_000), Equals(200))
+
+
+def test_largest_body_of_the_settings_is_served_with_the_default_budget():
+    # Guards against settings by which a single request can never be served.
+    loop, results = Loop(), []
+    cfg = ENTRY_DEFAULTS | {
+        "id": "p0",
+        "failure_domain": "l1",
+        "region": "l",
+        "platform_address": "127.0.0.1:9",
+        "max_body_bytes": 67_108_864,
+    }
+    common = build_common_components(
+        cfg, lambda call: call.answer(200, b""), lambda envelope: None, loop
+    )
+    common.client.request(
+        common.server.address,
+        "POST",
+        "/",
+        results.append,
+        body=b"a" * 60_000_000,
+        timeout_s=60.0,
+    )
+    assert loop.run_until(lambda: results, 60)
+    assert_that(results[0].status, Equals(200))
+    common.peers.close()
+    common.server.server.close()
+
+
 @pytest.mark.parametrize(
     "odd",
     [
