Bound the states of ended jobs that a node keeps

Each ended job that a caller asked for stayed in a table of the node for ever. It keeps 10,000 now, and reads the others from the store again.

--- a/cornelward/node_job_states.py
+++ b/cornelward/node_job_states.py
@@ -25,6 +25,8 @@
 
 log = get_logger("node_jobs")
 
+# States of ended jobs that a node keeps, those that were asked for last.
+MAX_FINAL_STATES = 10_000
 FINAL_STATES = (COMPLETED, FAILED, CANCELLED)
 STATE_TIMEOUT_S = 0.35
 CANCEL_TIMEOUT_S = 1.2
@@ -89,7 +91,10 @@
         refuse(call, 410, NOT_FOUND, NO_SUCH_JOB, retry_s=0)
     else:
         if state in FINAL_STATES:
-            node.peer_state.final_states[job_id, caller] = state
+            known = node.peer_state.final_states
+            if len(known) >= MAX_FINAL_STATES:
+                del known[next(iter(known))]
+            known[job_id, caller] = state
         call.answer_json(200, {"state": state})
 
 
--- a/tests/test_node_limits.py
+++ b/tests/test_node_limits.py
@@ -8,7 +8,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from cornelward import node_jobs
+from cornelward import node_job_states, node_jobs
 from cornelward.compose import build_common_components
 from cornelward.http_call import HttpLimits
 from cornelward.http_memory import Held
@@ -161,3 +161,16 @@
     )
     default = {field: getattr(HttpLimits(), field)}
     assert_that(limits, Equals(msgspec.structs.replace(expected, **default)))
+
+
+def test_states_of_ended_jobs_that_a_node_keeps_are_bounded(cluster, monkeypatch):
+    # Guards against memory that grows with each ended job that is asked for.
+    monkeypatch.setattr(node_job_states, "MAX_FINAL_STATES", 2)
+    cluster.start(nodes=1, workers=1, run_s=0.05)
+    node, jobs = cluster.nodes[0], [f"{n:016x}" for n in range(4)]
+    for job_id in jobs:
+        cluster.submit(node, job_id, STEPS)
+        cluster.wait(lambda j=job_id: cluster.state(node, j) == "completed")
+    kept = [job_id for job_id, _ in node.peer_state.final_states]
+    assert_that(kept, Equals(jobs[2:]))
+    assert_that(cluster.state(node, jobs[0]), Equals("completed"))
