--- a/tests/test_odd_jobs.py
+++ b/tests/test_odd_jobs.py
@@ -22,7 +22,7 @@
     yield DEEP
     yield b'{"steps":%s}' % DEEP
     yield b'{"steps":[{"count":1}],"spec":%s}' % DEEP
-    yield b'{"steps":[{"count":1}],"other":%s}' % (b'{"a":' * 100_000)
+    yield b'{"steps":[{"count":1}],"other":%s}' % (b'{"a":' * 50_000)
     for name in (b"count", b"cpu", b"mem_mb", b"gpu", b"anti_affinity", b"estimate_ms"):
         for value in DIGITS:
             yield b'{"steps":[{"count":1,"%s":%s}]}' % (name, value)
@@ -33,6 +33,7 @@
 
 
 TOO_LARGE = [
+    b'{"steps":[{"count":1}],"other":%s}' % (b'{"a":' * 100_000),
     b'{"spec":"%s","steps":[{"count":1}]}' % (b"x" * 70_000),
     b'{"steps":[{"count":1,"requires":"%s"}]}' % (b"x" * 70_000),
 ]
