Soak: crowds of clients that hold requests open

Change: at intervals 50 connections hold requests open on a node: bodies in chunks of two bytes that lack their end, headers of many fields, nothing at all, or requests whose responses are not read. They are drawn apart, so that the other faults of a seed stay as they were. The memory of a node is also checked after each crowd, as a restart forgets the peak.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,14 +8,14 @@
 or silent, a store that is unavailable, slow or loses answers or its change history,
 workers that are silent, crash or change their capacity, and deadly tasks, which crash
 each worker that starts them. Beside the ends of gangs that fail, leaders are replaced,
-and workers or racks of members are lost or cut off. The checks: no task runs twice or
-again after its end, no start exceeds a worker's capacity or a workspace's cap, no
-deadly task is started without limit, gangs that fail use exactly their attempts, no
-call with an unknown key runs, a withdrawn key is refused and no other one, a job whose
-submissions were all refused runs no task, every accepted job completes, or fails if it
-has a deadly task or its gang fails, without waiting beside free room once the faults
-are over (only by the command), no node exits unless it was told to, and no node uses
-more than 128 MiB of memory.
+and workers or racks of members are lost or cut off. Crowds of clients hold requests
+open. The checks: no task runs twice or again after its end, no start exceeds a worker's
+capacity or a workspace's cap, no deadly task is started without limit, gangs that fail
+use exactly their attempts, no call with an unknown key runs, a withdrawn key is refused
+and no other one, a job whose submissions were all refused runs no task, every accepted
+job completes, or fails if it has a deadly task or its gang fails, without waiting
+beside free room once the faults are over (only by the command), no node exits unless it
+was told to, and no node uses more than 128 MiB of memory.
 """
 
 import argparse
@@ -31,7 +31,7 @@
 from standins.cell import Cell
 from standins.proxy import Proxy
 
-from . import soak_gangs, soak_keys
+from . import soak_crowds, soak_gangs, soak_keys
 from .soak_faults import FAULTS, WORKER_CPU, restart
 from .soak_nodes import Node
 from .soak_waits import watch_waits
@@ -113,6 +113,7 @@
         self.deadly = set()
         self.cell.deadly = self.deadly.__contains__
         self.gangs = soak_gangs.FailingGangs(seed)
+        self.crowds = soak_crowds.Crowds(seed)
         self.events = []
         self.failures = []
         self.is_load_over = False
@@ -138,6 +139,7 @@
             self._submit_next()
             self.submit_deadly_job(self.rng)
             soak_gangs.submit_failing_gang(self)
+            soak_crowds.send_next_crowd(self)
             self._start_next_fault()
             soak_keys.call_with_unknown_key(self)
             self.loop.call_later(self.load_s / 2, lambda: soak_keys.withdraw_key(self))
@@ -150,6 +152,7 @@
             self._check_outcome()
         finally:
             self._kill_nodes()
+            self.crowds.close()
         return self.failures
 
     def _wait_serving(self):
@@ -294,6 +297,10 @@
         code = node.popen.poll()
         if code is not None:
             self.failures.append(f"{node.name} exited unexpectedly with code {code}")
+        self.check_memory(node)
+
+    def check_memory(self, node):
+        """Check the peak of the node's process, which a restart would forget."""
         if node.rss_kb() > MAX_RSS_KB:
             self.failures.append(f"{node.name} used {node.rss_kb()} KiB of memory")
 
