Release the requests that wait behind a call whose caller has left

What callers may cause: memory that no budget counts. A caller pipelines large bodies behind a request that is handled, and resets the connection: its place is free, its handler still refers to the connection with all of its requests.

Cause: Connections.forget counts the call on, but left the requests that wait and the incomplete one with the connection, which the call keeps.

Change: forget discards them.

--- a/cornelward/http_connections.py
+++ b/cornelward/http_connections.py
@@ -134,6 +134,8 @@
         if call is None:
             budget.set_held(conn, NOTHING)
             return
+        # The handler keeps the connection's requests that wait, too.
+        conn.framer.discard()
         # Its handler may go on, as the caller sends the request again.
         conn.call, size = None, conn.call_bytes
         budget.set_held(conn, Held(0, size + call.held_bytes))
