Count the bytes of a header that come with the request before it

What callers may cause: up to 16 KiB a connection that no budget counts.

Cause: the bytes of a read that completes a request count for no later header, as part of them is not its own; the parser keeps them all the same.

Evidence: on the code before, 211 bytes are counted of a field of 12,000 (test_header_that_follows_a_request_at_once_counts_as_memory).

Change: they count as memory until the header is complete, not for its limit.

--- a/cornelward/http_framing.py
+++ b/cornelward/http_framing.py
@@ -72,7 +72,7 @@
     @property
     def unfinished_bytes(self):
         """Return the memory in bytes that the incomplete request takes."""
-        header = max(self._header_bytes, self._unparsed_bytes)
+        header = max(self._header_bytes, self._joint_bytes + self._unparsed_bytes)
         trailer = self._silent_bytes if self.has_header else 0
         return header + self._fields * FIELD_BYTES + len(self._body) + trailer
 
@@ -114,7 +114,9 @@
             # The parser buffers an incomplete header field without a callback, so the
             # received bytes are counted here. They are counted only while the header
             # is incomplete, as bytes that come after it may belong to the body.
-            if not self._has_completed:
+            if self._has_completed:
+                self._joint_bytes = size
+            else:
                 self._unparsed_bytes += size
             if self._unparsed_bytes > max_header_bytes:
                 raise FramingError(431, "the request header is too large")
@@ -129,6 +131,8 @@
         self._body = bytearray()
         self._header_bytes = 0
         self._unparsed_bytes = 0
+        # Of these, part belongs to the request before: they count as memory only.
+        self._joint_bytes = 0
         self.has_header = False
 
     def _check_header_size(self):
@@ -166,7 +170,7 @@
 
     def on_headers_complete(self):
         self.has_header = True
-        self._silent_bytes = self._unparsed_bytes = 0
+        self._silent_bytes = self._unparsed_bytes = self._joint_bytes = 0
         length = self._headers.get("content-length")
         if length is not None and int(length) > self._limits.max_body_bytes:
             raise FramingError(413, "the request body is too large")
--- a/tests/test_http_random_callers.py
+++ b/tests/test_http_random_callers.py
@@ -247,3 +247,15 @@
     kept += conn.framer.unfinished_bytes
     assert kept <= harness.budget.used_bytes, (kept, harness.budget.used_bytes)
     harness.close()
+
+
+def test_header_that_follows_a_request_at_once_counts_as_memory():
+    # Guards against callers that keep a header's bytes out of the budget.
+    harness = ServerHarness()
+    caller = harness.connect()
+    caller.send(post("/a", b"a") + b"GET /b HTTP/1.1\r\nHost: x\r\nX: " + b"b" * 12_000)
+    harness.until(lambda: len(harness.calls) == 1)
+    harness.calls.pop().answer(200)
+    harness.until(lambda: len(caller.answers()) == 1)
+    assert harness.budget.used_bytes >= 12_000, harness.budget.used_bytes
+    harness.close()
