Count a gang's failed run as no crash if the crash was seen first

Cause: counts no crash under a run that has been counted as failed. If the worker's restart is seen before another member's failed end, the run still counts as both.

Change: the failed end takes back the crashes counted under its run. What remains: a leader that takes over between the two does not know in which run the crash was, and counts both.

--- a/cornelward/dispatch_crashes.py
+++ b/cornelward/dispatch_crashes.py
@@ -24,6 +24,7 @@
     "note_crash",
     "note_loss",
     "on_worker_gone",
+    "withdraw_crashes",
 ]
 
 log = get_logger("dispatch_crashes")
@@ -184,8 +185,10 @@
     is_common = _has_common_cause(crash, ran_s)
     if ran_s >= SETTLED_S and (is_common or seen.on_trial):
         return
+    confirmed = int(run.acked_at is not None and not is_common)
     task.crashes += 1
-    task.confirmed_crashes += run.acked_at is not None and not is_common
+    task.confirmed_crashes += confirmed
+    task.crashed_run = (run.attempt, confirmed)
     task.ran_s = max(task.ran_s, ran_s)
     job.has_crashes = True
     state.crashed_runs += 1
@@ -215,6 +218,16 @@
         fail_job(state, now, job, task, f"{task.crashes} workers crashed under it")
 
 
+def withdraw_crashes(tasks, attempt):
+    """Count the crashes under a gang's run no more, as it has ended as failed."""
+    for task in tasks:
+        crashed, confirmed = task.crashed_run
+        if crashed == attempt:
+            task.crashes -= 1
+            task.confirmed_crashes -= confirmed
+            task.crashed_run = (0, 0)
+
+
 def _observed_run_s(run, seen_at):
     """Return for how long the run was seen on its worker."""
     if run.acked_at is None or seen_at is None:
--- a/cornelward/dispatch_runs.py
+++ b/cornelward/dispatch_runs.py
@@ -15,6 +15,7 @@
     note_crash,
     note_loss,
     on_worker_gone,
+    withdraw_crashes,
 )
 from .dispatch_effects import Stop
 from .dispatch_tasks import (
@@ -397,6 +398,7 @@
             # Another member has failed in the same run, which counts once.
             return
         job.failed_gang_runs[key] = run.attempt
+        withdraw_crashes(job.tasks[key], run.attempt)
     task.failures += 1
     if run.step.long_running:
         return
--- a/cornelward/staged_jobs.py
+++ b/cornelward/staged_jobs.py
@@ -199,6 +199,7 @@
         "attempt",
         "checkpoint",
         "confirmed_crashes",
+        "crashed_run",
         "crashes",
         "failures",
         "key",
@@ -216,6 +217,8 @@
         # Workers that crashed under the task, those of them that had confirmed its
         # start, and the longest time that it ran on any.
         self.crashes = self.confirmed_crashes = 0
+        # (attempt, 1 if it counts as confirmed) of the latest crash, not recorded.
+        self.crashed_run = (0, 0)
         self.ran_s = 0.0
         self.checkpoint = ""
         # The Run while the task is placed, else None.
--- a/tests/test_gang_paths.py
+++ b/tests/test_gang_paths.py
@@ -232,6 +232,45 @@
     assert_that(sim.violations, Equals([]))
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("changes", [False, True], ids=["", "leaders"])
+def test_crash_that_is_seen_before_the_failed_ends_of_its_run_is_not_counted_too(
+    seed, changes
+):
+    # A worker restarts before it can list its member's end; other ends come later.
+    hows = {1: ["failed"] * 4}
+    sim = start_cell(
+        seed,
+        4,
+        3,
+        lambda attempt: hows.get(attempt, ["done"] * 4),
+        spare=4,
+        rack_size=4,
+        estimate_s=0.8,
+    )
+    run_until(sim, lambda: begun_runs(sim))
+    lost, *others = [worker_of_member(sim, index) for index in (3, 0, 1, 2)]
+    sim.run(0.5)
+    for worker in (lost, *others):
+        worker.silent = True
+    sim.run(0.7)
+    lost.restart(2)
+    lost.silent = False
+    run_until(sim, lambda: sim.leader.core.jobs[JOB].tasks[0, 0][3].crashes)
+    for worker in others:
+        worker.silent = False
+    run_until(sim, lambda: is_counted(sim))
+    if changes:
+        replace_leader(sim)
+    run_until(sim, lambda: len(begun_runs(sim)) > 1)
+    sim.run(0.1)
+    again = worker_of_member(sim, 3, highest_begun(sim))
+    again.crash(3.0, sim.next_worker_id())
+    sim.run(40.0)
+    assert_that(dispatch.state_of(sim.leader.core, JOB), Equals("completed"))
+    assert_that(sim.violations, Equals([]))
+
+
 # Paths of a worker that is cut off
 
 
