Stop a request whose connection was given up for its memory

The handler of the own interface tells what it holds; the budget may then give up the request's own connection, before the handler is told of closed ones. It went on without a caller.

--- a/cornelward/api.py
+++ b/cornelward/api.py
@@ -53,6 +53,9 @@
     def handle(call):
         # The request is passed on as a copy.
         call.hold(len(call.request.body))
+        if call.closed:
+            # There was no memory for the copy.
+            return
         parts = call.request.path.split("/")
         if parts[1:3] == ["v1", "services"] and len(parts) == 5:
             _call_operation(entry, call, parts[3], parts[4])
