--- a/cornelward/platform/ingress.py
+++ b/cornelward/platform/ingress.py
@@ -63,7 +63,7 @@
     api_keys: list[str] | None = None
 
 
-Positive = Annotated[float, Meta(gt=0, le=MAX_AMOUNT)]
+Positive = Annotated[float, Meta(ge=1, le=MAX_AMOUNT)]
 
 # Limits of the configuration: name, field of HttpLimits, and its type.
 LIMITS = (
--- a/tests/test_node_limits.py
+++ b/tests/test_node_limits.py
@@ -148,6 +148,7 @@
         {"max_header_bytes": None},
         {"header_timeout_ms": []},
         {"idle_timeout_ms": -1},
+        {"max_header_bytes": 0.5},
     ],
     ids=str,
 )
