--- a/cornelward/http_connections.py
+++ b/cornelward/http_connections.py
@@ -139,7 +139,12 @@
         # Its handler may go on, as the caller sends the request again.
         conn.call, size = None, conn.call_bytes
         budget.set_held(conn, Held(0, size + call.held_bytes))
-        call.on_held = lambda held: budget.set_held(conn, Held(0, size + held))
+
+        def hold(held):
+            budget.set_held(conn, Held(0, size + held))
+            budget.shed()
+
+        call.on_held = hold
         call.on_released = lambda: budget.set_held(conn, NOTHING)
         # A handler may drop the call without a response.
         weakref.finalize(call, call.on_released).atexit = False
