Tests of empty lines and of the header's time that fail without the fix

test_empty_lines_do_not_keep_a_connection_open passed with its fix taken out in a scratch copy: after its loop it waited until the idle timeout closed the connection. It now asks for the close while lines still come. Nothing tested that header_timeout_s refuses a header and not a body that takes longer.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -451,16 +451,31 @@
 
 
 def test_empty_lines_do_not_keep_a_connection_open(harness):
+    # All of them together are fewer bytes than a header may have.
     caller = harness.connect()
     for _ in range(400):
         if caller.poll().closed:
             break
         caller.send(b"\r\n")
         harness.loop.run_until(lambda: False, 0.01)
-    caller.until(lambda: caller.poll().closed)
+    assert_that(caller.closed, Equals(True))
     assert_that(harness.calls, HasLength(0))
 
 
+def test_header_has_a_time_of_its_own():
+    # Guards against a limit of the configuration that nothing applies.
+    harness = ServerHarness(header_timeout_s=0.3, receive_timeout_s=600.0)
+    with_body, with_header = harness.connect(), harness.connect()
+    with_body.send(unfinished(100))
+    with_header.send(PAIR[:20])
+    with_header.until(lambda: with_header.answers())
+    assert_that(with_header.answers()[0][0], Equals(408))
+    assert_that(with_body.poll().closed, Equals(False))
+    with_body.send(b"a")
+    harness.until(lambda: harness.calls)
+    harness.close()
+
+
 def test_changed_limits_hold_for_open_connections():
     harness = ServerHarness(max_connections=7)
     harness.handle = echo
