--- a/review/cell3/case.py
+++ b/review/cell3/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import signal
 import sys
 import traceback
 from pathlib import Path
@@ -19,11 +20,14 @@
 
 
 async def _run(file, run, nodes):
+    # The processes are ended also if this one is told to end.
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     record = Record(Path(file).with_name("record.txt"))
     cell = Cell(record, nodes, SEED)
     try:
         broken = await asyncio.wait_for(run(cell, random.Random(SEED)), LIMIT_S)
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         record(f"could not run: {traceback.format_exc()}")
         return EXIT_NOT_RUN
     finally:
--- a/review/cell3/executor.py
+++ b/review/cell3/executor.py
@@ -11,7 +11,7 @@
 import random
 import time
 
-from .http import DROP, SILENT, Server
+from .http import SILENT, Server
 
 __all__ = ["Executor", "Fleet"]
 
@@ -168,7 +168,7 @@
 
 
 class End:
-    """An end that an executor lists; ``void`` if the lease lapsed before it was taken."""
+    """An end that is listed; ``void`` if the lease lapsed before it was taken."""
 
     def __init__(self, number, run, how, saved):
         self.number = number
@@ -221,11 +221,8 @@
         self.waiting = []
         self.draining = False
         self.up = True
-        if not self.server.port:
-            await self.server.open()
         self.register()
-        if self.server.server is None:
-            await self.server.open()
+        await self.server.open()
         self.beat = asyncio.ensure_future(self._beat(life))
 
     def crash(self):
@@ -474,6 +471,3 @@
         loop = asyncio.get_running_loop()
         for executor, member in members.values():
             loop.call_later(BROKEN_S, executor.end, member, "broken")
-
-
-assert DROP
--- a/review/cell3/http.py
+++ b/review/cell3/http.py
@@ -3,13 +3,40 @@
 import asyncio
 import contextlib
 import json
+import random
+import socket
 
-__all__ = ["DROP", "SILENT", "Server", "call"]
+__all__ = ["DROP", "SILENT", "Server", "call", "free_ports"]
 
 # Results of a handler beside (status, body): close the connection, or never answer.
 DROP, SILENT = "drop", "silent"
 
 
+# Below the range of outgoing connections, so that none takes the port of a server that
+# is down for a while.
+FIRST_PORT, LAST_PORT = 12_000, 32_000
+_used = set()
+
+
+def free_ports(count):
+    """Return free loopback ports; none is returned twice."""
+    found = []
+    first = random.randrange(FIRST_PORT, LAST_PORT - 4_000)
+    for port in range(first, LAST_PORT):
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _used:
+            _used.add(port)
+            found.append(port)
+        if len(found) == count:
+            return found
+    raise OSError("no free ports")
+
+
 class Server:
     """Serves ``handle(method, target, headers, body)`` on a loopback port.
 
@@ -17,9 +44,9 @@
     can be closed like a process that is killed, and opened again at its port.
     """
 
-    def __init__(self, handle, port=0):
+    def __init__(self, handle):
         self.handle = handle
-        self.port = port
+        (self.port,) = free_ports(1)
         self.server = None
         self.writers = set()
 
@@ -27,7 +54,6 @@
         self.server = await asyncio.start_server(
             self._serve, "127.0.0.1", self.port, reuse_address=True
         )
-        self.port = self.server.sockets[0].getsockname()[1]
 
     @property
     def address(self):
--- a/review/cell3/nodes.py
+++ b/review/cell3/nodes.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -93,27 +92,6 @@
 """
 
 
-def free_ports(count):
-    """Return free loopback ports below the range of outgoing connections."""
-    found = []
-    for port in range(20_000 + os.getpid() % 400 * 25, 32_000):
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in _used:
-            _used.add(port)
-            found.append(port)
-        if len(found) == count:
-            return found
-    raise OSError("no free ports")
-
-
-_used = set()
-
-
 class Record:
     """Writes lines with the time since the start to a file."""
 
@@ -133,7 +111,7 @@
         self.name = name
         self.store_port = port
         self.log = folder / f"{name}.log"
-        front, ready, control, peer, status = free_ports(5)
+        front, ready, control, peer, status = http.free_ports(5)
         self.address = f"127.0.0.1:{front}"
         self.ready = f"127.0.0.1:{ready}"
         self.path = folder / f"{name}.toml"
@@ -151,6 +129,9 @@
         self.process = None
 
     def start(self):
+        """Start the process, unless it is running."""
+        if self.process is not None and self.process.poll() is None:
+            return
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         env["CORNELWARD_CONFIG"] = str(self.path)
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
