--- a/review/cell3/executor.py
+++ b/review/cell3/executor.py
@@ -202,6 +202,7 @@
         self.unlisted = False
         self.late_orders = []
         self.remaining_ms = 2_500
+        self.service = "dispatch"
         self.server = Server(self.handle)
         self.life = 0
         fleet.executors[executor_id] = self
@@ -255,7 +256,7 @@
     def register(self, sequence=0):
         cpu, mem_mb, gpu = self.room
         entry = {
-            "service": "dispatch",
+            "service": self.service,
             "address": self.server.address,
             "zone": "a",
             "version": "v1",
