--- a/review/cell3/executor.py
+++ b/review/cell3/executor.py
@@ -188,6 +188,7 @@
     """One executor; ``orders`` may be set to make orders late.
 
     ``late_share`` of the orders get no answer and are carried out 2 to 12 s later;
+    ``lost_share`` of the calls are carried out and not answered;
     ``cut`` lets it neither answer nor register, while it works on.
     """
 
@@ -198,7 +199,7 @@
         self.room = room
         self.up = False
         self.cut = self.failing = self.draining = False
-        self.late_share = 0.0
+        self.late_share = self.lost_share = 0.0
         self.unlisted = False
         self.late_orders = []
         self.remaining_ms = 2_500
@@ -307,7 +308,8 @@
             self.late_orders.append(asyncio.ensure_future(late))
             return SILENT
         result = await self._carry_out(target, body)
-        return SILENT if self.cut else result
+        is_lost = self.fleet.rng.random() < self.lost_share
+        return SILENT if self.cut or is_lost else result
 
     async def _carry_out_late(self, target, body, life):
         await asyncio.sleep(self.fleet.rng.uniform(2.0, 12.0))
--- a/review/cell3/http.py
+++ b/review/cell3/http.py
@@ -12,25 +12,45 @@
 DROP, SILENT = "drop", "silent"
 
 
-# Below the range of outgoing connections, so that none takes the port of a server that
-# is down for a while.
-FIRST_PORT, LAST_PORT = 12_000, 32_000
-_used = set()
+# Blocks of ports below the range of outgoing connections, so that none takes the port
+# of a server that is down for a while. The first port of its block is bound by each
+# process that uses it.
+FIRST_PORT, BLOCK_PORTS, BLOCKS = 12_000, 200, 100
+_block = []
+
+
+def _bind(port):
+    """Return a socket bound to a loopback port, or None if that is in use."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind(("127.0.0.1", port))
+        sock.listen()
+    except OSError:
+        sock.close()
+        return None
+    return sock
+
+
+def _take_block():
+    for number in random.sample(range(BLOCKS), BLOCKS):
+        first = FIRST_PORT + BLOCK_PORTS * number
+        lock = _bind(first)
+        if lock is not None:
+            _block.extend([lock, iter(range(first + 1, first + BLOCK_PORTS))])
+            return
+    raise OSError("no free ports")
 
 
 def free_ports(count):
     """Return free loopback ports; none is returned twice."""
+    if not _block:
+        _take_block()
     found = []
-    first = random.randrange(FIRST_PORT, LAST_PORT - 4_000)
-    for port in range(first, LAST_PORT):
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in _used:
-            _used.add(port)
+    for port in _block[1]:
+        sock = _bind(port)
+        if sock is not None:
+            sock.close()
             found.append(port)
         if len(found) == count:
             return found
