--- a/review/cell3/case.py
+++ b/review/cell3/case.py
@@ -15,7 +15,7 @@
 # With TROUBLE=0 the case does the same without the disruption.
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", "1"))
-LIMIT_S = 115.0
+LIMIT_S = 117.0
 EXIT_BROKEN, EXIT_NOT_RUN = 1, 2
 
 
--- a/review/cell3/executor.py
+++ b/review/cell3/executor.py
@@ -1,8 +1,9 @@
 """Stand-in for an executor, as the pages describe it, and what it has seen.
 
 ``Fleet`` holds what all executors have in common: the runs of gangs, the record and the
-checks. What a task does is in its job's ``spec``: JSON with ``ms`` (how long it works),
-``fails`` (share of its runs that end as failed).
+checks. What a task does is in its job's ``spec``: JSON with ``ms`` (how long it works;
+``short_ms`` in the first ``short`` occurrences), ``fails`` (share of its runs that end
+as failed) and ``saves`` (whether it has checkpoints).
 """
 
 import asyncio
@@ -43,6 +44,11 @@
     def key(self):
         return self.task, self.number
 
+    def work_ms(self):
+        """Return how long the task works; first occurrences may be short."""
+        is_short = int(self.task.split(".")[1]) < self.spec.get("short", 0)
+        return self.spec["short_ms" if is_short else "ms"]
+
     def done_ms(self):
         worked = 0 if self.since is None else (time.monotonic() - self.since) * 1000
         return self.base_ms + worked
@@ -393,7 +399,7 @@
     def _percent(self, run):
         if self.fleet.step_of(run.task).get("runs_forever"):
             return 100
-        return int(100 * run.done_ms() / max(1, run.spec["ms"]))
+        return int(100 * run.done_ms() / max(1, run.work_ms()))
 
     # Work
 
@@ -401,7 +407,7 @@
         run.since = time.monotonic()
         if self.fleet.step_of(run.task).get("runs_forever"):
             return
-        left_s = max(0.02, (run.spec["ms"] - run.base_ms) / 1000)
+        left_s = max(0.02, (run.work_ms() - run.base_ms) / 1000)
         fails = self.failing or self.fleet.rng.random() < run.spec.get("fails", 0.0)
         how = "failed" if fails else "done"
         asyncio.get_running_loop().call_later(left_s, self.end, run, how)
--- a/review/cell3/store.py
+++ b/review/cell3/store.py
@@ -86,6 +86,8 @@
         self.changes = []
         self.changed = asyncio.Event()
         self.locks = {}
+        # Transactions that are over a limit, which are answered with 400.
+        self.refused = 0
         # The feed has no changes up to this version any more.
         self.oldest = 0
 
@@ -127,9 +129,9 @@
         remove = body["remove"]
         entries = [*expected, *writes, *remove]
         values = [(name(w), base64.b64decode(w["value"])) for w in writes]
-        if len(entries) > MAX_ENTRIES or len({e["part"] for e in entries}) > 1:
-            return 400, {}
-        if any(len(v) > ROW_BYTES for _, v in values):
+        is_odd = len(entries) > MAX_ENTRIES or len({e["part"] for e in entries}) > 1
+        if is_odd or any(len(v) > ROW_BYTES for _, v in values):
+            self.refused += 1
             return 400, {}
         if any(e["table"] in ("op", "servers") for e in [*writes, *remove]):
             return 403, {}
