--- a/review/cell3/executor.py
+++ b/review/cell3/executor.py
@@ -75,6 +75,8 @@
         # (ID.K.STEP, run) -> members that are present.
         self.gangs = {}
         self.starts = []
+        # Tasks that were on an executor when it crashed.
+        self.met_crash = set()
         # Task -> [End]
         self.ends = {}
         self.broken = []
@@ -241,7 +243,8 @@
             self._leave_gang(run)
         if self.runs:
             names = [run.task for run in self.runs.values()]
-            self.fleet.record(f"{self.id} crashes with {names}")
+            self.fleet.met_crash.update(names)
+            self.fleet.record(f"{self.id} crashes with {len(names)} runs: {names}")
         self.runs = {}
         for end in self.pending_ends:
             end.void = True
